Add the design page, the workspace and the shared types

Cause: the parts need one agreed page and typed interfaces before they can be built side by side. Conclusion: the other crates are empty and are built against `model`.

--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leaf access: limits, ranks, replica choice, hedging.
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, leafs and a faulty network.
--- /dev/null
+++ b/crates/gather/src/lib.rs
@@ -0,0 +1,1 @@
+//! Queries: snapshots, coverage, routing, merging.
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry host.
--- /dev/null
+++ b/crates/model/src/preset.rs
@@ -0,0 +1,91 @@
+//! The sizes of the two installations.
+
+use smol_str::SmolStr;
+
+use crate::{config::Collection, leaf::Limits};
+
+/// The sizes of an installation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Preset {
+    /// The name used in settings.
+    pub name: &'static str,
+    /// The failure domains.
+    pub domains: [&'static str; 3],
+    /// The number of entry hosts.
+    pub hosts: usize,
+    /// The collections.
+    pub collections: Vec<Collection>,
+    /// The collection that searches run over first.
+    pub searched: &'static str,
+    /// The collection that orders go to first.
+    pub ordered: &'static str,
+}
+
+/// Leafs that take few connections and are slow to connect to.
+const SMALL: Limits = Limits {
+    slots: 2,
+    connections: 25,
+    open_ms: 6,
+};
+
+fn collection(name: &str, services: u16, leafs: u16, limits: Limits) -> Collection {
+    Collection {
+        name: SmolStr::new(name),
+        services,
+        leafs,
+        limits,
+    }
+}
+
+impl Preset {
+    /// Returns the sizes of the installation in Norway.
+    pub fn norway() -> Self {
+        let large = Limits {
+            slots: 6,
+            connections: 110,
+            open_ms: 1,
+        };
+        Self {
+            name: "norway",
+            domains: ["ostland", "vestland", "nordland"],
+            hosts: 9,
+            collections: vec![
+                collection("blade-profile-registry", 20, 2, SMALL),
+                collection("rink-order-intake", 30, 2, SMALL),
+                collection("club-billing", 1, 4, large),
+                collection("grinder-job-log", 1, 3, large),
+            ],
+            searched: "blade-profile-registry",
+            ordered: "club-billing",
+        }
+    }
+
+    /// Returns the sizes of the installation in Switzerland.
+    pub fn switzerland() -> Self {
+        let large = Limits {
+            slots: 4,
+            connections: 45,
+            open_ms: 1,
+        };
+        Self {
+            name: "switzerland",
+            domains: ["bern", "geneva", "zurich"],
+            hosts: 9,
+            collections: vec![
+                collection("workshop-records-portal", 20, 2, SMALL),
+                collection("club-intake-desk", 30, 2, SMALL),
+                collection("donor-and-billing-office", 1, 4, large),
+                collection("stock-records", 1, 3, large),
+            ],
+            searched: "workshop-records-portal",
+            ordered: "donor-and-billing-office",
+        }
+    }
+
+    /// Returns the sizes of the installation named `name`.
+    pub fn named(name: &str) -> Option<Self> {
+        [Self::norway(), Self::switzerland()]
+            .into_iter()
+            .find(|p| p.name == name)
+    }
+}
--- /dev/null
+++ b/crates/model/src/roster.rs
@@ -0,0 +1,68 @@
+//! Placement: which hosts are responsible for what, by rendezvous hashing.
+
+use crate::{catalog::Service, hash, hash::Set, host, host::Host};
+
+/// Hosts that may dispatch to a service, or claim for a partition.
+pub const CANDIDATES: usize = 3;
+
+/// The most hosts that read the platform on behalf of the others.
+pub const WATCHERS: usize = 9;
+
+/// Adjacent roster versions that may be in force at once while one spreads.
+const VERSIONS_IN_FORCE: usize = 2;
+
+/// Returns the `count` hosts with the highest rendezvous weight for `item`.
+///
+/// Hosts in failure domains that are not yet represented go first, so that the
+/// loss of one domain leaves the others. The order is the order of responsibility.
+pub fn candidates<'a>(hosts: &'a [Host], item: &[&[u8]], count: usize) -> Vec<&'a Host> {
+    let mut weighted: Vec<(u64, &Host)> = hosts
+        .iter()
+        .map(|host| {
+            let parts = item.iter().copied().chain([host.name.as_bytes()]);
+            (hash::stable(parts), host)
+        })
+        .collect();
+    weighted.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
+
+    let mut chosen = Vec::with_capacity(count.min(hosts.len()));
+    while chosen.len() < count && !weighted.is_empty() {
+        let mut domains: Set<&host::Domain> = Set::default();
+        weighted.retain(|(_, host)| {
+            let take = chosen.len() < count && domains.insert(&host.domain);
+            if take {
+                chosen.push(*host);
+            }
+            !take
+        });
+    }
+    chosen
+}
+
+/// Returns the hosts that may dispatch to `service`, the first one first.
+pub fn dispatchers<'a>(hosts: &'a [Host], service: &Service) -> Vec<&'a Host> {
+    let index = service.index.to_le_bytes();
+    let item: [&[u8]; 3] = [b"service", service.collection.as_bytes(), &index];
+    candidates(hosts, &item, CANDIDATES)
+}
+
+/// Returns the hosts that may write claims for `partition`, the first one first.
+pub fn claimers(hosts: &[Host], partition: u16) -> Vec<&Host> {
+    let partition = partition.to_le_bytes();
+    candidates(hosts, &[b"claims", &partition], CANDIDATES)
+}
+
+/// Returns the hosts that read the platform on behalf of the others.
+pub fn watchers(hosts: &[Host]) -> Vec<&Host> {
+    candidates(hosts, &[b"watchers"], WATCHERS)
+}
+
+/// Returns how many of a leaf's `connections` one candidate may hold.
+///
+/// The candidates of two adjacent roster versions together never hold more than
+/// `connections`, whichever of them believes to be first. It is 0 if there are
+/// fewer connections than candidates; a plan refuses such a collection.
+pub fn share(hosts: usize, connections: u32) -> u32 {
+    let holders = hosts.clamp(1, CANDIDATES * VERSIONS_IN_FORCE);
+    connections / u32::try_from(holders).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/order/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders: claims, tickets and outcomes.
--- /dev/null
+++ b/crates/protogen/src/main.rs
@@ -0,0 +1,2 @@
+//! Not written yet.
+fn main() {}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration, plans, membership and its spreading.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocols of rattanmast.
