--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,8 @@
-//! Protocols of rattanmast.
+//! Protocols of rattanmast: HTTP and JSON towards callers, leafs and the
+//! platform; tonic and tarpc between hosts.
+
+pub mod api;
+pub mod hop;
+pub mod http;
+pub mod leaf;
+pub mod store;
--- /dev/null
+++ b/crates/wire/src/store.rs
@@ -0,0 +1,221 @@
+//! The platform's object service over HTTP/1.1.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use rattanmast_model::store::{Error, Object, Result, Store, VALUE_LIMIT, Version};
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::http;
+
+/// The longest time that the platform may take; it usually answers in milliseconds.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The largest answer to a list, in bytes.
+const LIST_LIMIT: usize = 64 << 20;
+
+/// An object in the answer to `GET /objects?prefix=<prefix>`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// The object's name.
+    pub name: String,
+    /// The object's version.
+    pub version: Version,
+    /// The object's value; the platform's values are text.
+    pub value: String,
+}
+
+/// Calls the platform's object service.
+#[derive(Clone, Debug)]
+pub struct Client {
+    platform: SocketAddr,
+    client: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+/// What a call did when its answer is missing.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Read,
+    Write,
+}
+
+impl Client {
+    /// Returns a client of the platform at `platform`.
+    pub fn new(platform: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(TIMEOUT));
+        let client = legacy::Client::builder(TokioExecutor::new()).build(connector);
+        Self { platform, client }
+    }
+
+    async fn call(
+        &self,
+        kind: Kind,
+        wait: Duration,
+        request: hyper::http::request::Builder,
+        body: Bytes,
+    ) -> Result<(StatusCode, Option<Version>, Bytes)> {
+        let lost = |why: String| match kind {
+            Kind::Read => Error::Down { why },
+            Kind::Write => Error::Lost { why },
+        };
+        let request = request.body(Full::new(body)).map_err(|error| Error::Down {
+            why: error.to_string(),
+        })?;
+        let answer = async {
+            let response = match self.client.request(request).await {
+                Ok(response) => response,
+                Err(error) if error.is_connect() => {
+                    let why = error.to_string();
+                    return Err(Error::Down { why });
+                }
+                Err(error) => return Err(lost(error.to_string())),
+            };
+            let (status, version) = (response.status(), etag(&response));
+            let body = http::read(response.into_body(), LIST_LIMIT)
+                .await
+                .map_err(|error| lost(error.to_string()))?;
+            Ok((status, version, body))
+        };
+        match time::timeout(wait + TIMEOUT, answer).await {
+            Ok(Ok((StatusCode::SERVICE_UNAVAILABLE, _, body))) => Err(Error::Down {
+                why: String::from_utf8_lossy(&body).into_owned(),
+            }),
+            Ok(answer) => answer,
+            Err(elapsed) => Err(lost(elapsed.to_string())),
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> hyper::http::request::Builder {
+        let uri = format!("http://{}/objects{path}", self.platform);
+        Request::builder().method(method).uri(uri)
+    }
+
+    async fn put(
+        &self,
+        name: &str,
+        condition: (header::HeaderName, String),
+        value: &[u8],
+    ) -> Result<Version> {
+        let name = name.to_owned();
+        if value.len() > VALUE_LIMIT {
+            return Err(Error::Large { name });
+        }
+        let request = self
+            .request(Method::PUT, &format!("/{name}"))
+            .header(condition.0, condition.1);
+        let body = Bytes::copy_from_slice(value);
+        match self
+            .call(Kind::Write, Duration::ZERO, request, body)
+            .await?
+        {
+            (StatusCode::OK | StatusCode::CREATED, Some(version), _) => Ok(version),
+            (StatusCode::PRECONDITION_FAILED, _, _) => Err(Error::Conflict { name }),
+            (StatusCode::NOT_FOUND, _, _) => Err(Error::Missing { name }),
+            (StatusCode::PAYLOAD_TOO_LARGE, _, _) => Err(Error::Large { name }),
+            (status, _, _) => Err(Error::Lost {
+                why: status.to_string(),
+            }),
+        }
+    }
+}
+
+/// Returns the version in the `ETag` header.
+fn etag(response: &Response<Incoming>) -> Option<Version> {
+    let value = response.headers().get(header::ETAG)?.to_str().ok()?;
+    value.trim_matches('"').parse().ok().map(Version)
+}
+
+impl Store for Client {
+    async fn get(&self, name: &str) -> Result<Object> {
+        let request = self.request(Method::GET, &format!("/{name}"));
+        match self
+            .call(Kind::Read, Duration::ZERO, request, Bytes::new())
+            .await?
+        {
+            (StatusCode::OK, Some(version), value) => Ok(Object {
+                name: name.to_owned(),
+                version,
+                value: value.to_vec(),
+            }),
+            (StatusCode::NOT_FOUND, _, _) => Err(Error::Missing {
+                name: name.to_owned(),
+            }),
+            (status, _, _) => Err(Error::Down {
+                why: status.to_string(),
+            }),
+        }
+    }
+
+    async fn create(&self, name: &str, value: &[u8]) -> Result<Version> {
+        let condition = (header::IF_NONE_MATCH, "*".to_owned());
+        self.put(name, condition, value).await
+    }
+
+    async fn update(&self, name: &str, version: Version, value: &[u8]) -> Result<Version> {
+        let condition = (header::IF_MATCH, format!("\"{}\"", version.0));
+        self.put(name, condition, value).await
+    }
+
+    async fn delete(&self, name: &str) -> Result<()> {
+        let request = self.request(Method::DELETE, &format!("/{name}"));
+        match self
+            .call(Kind::Write, Duration::ZERO, request, Bytes::new())
+            .await?
+        {
+            (StatusCode::OK | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND, _, _) => Ok(()),
+            (status, _, _) => Err(Error::Lost {
+                why: status.to_string(),
+            }),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Object>> {
+        let request = self.request(Method::GET, &format!("?prefix={prefix}"));
+        let answer = self
+            .call(Kind::Read, Duration::ZERO, request, Bytes::new())
+            .await?;
+        let (StatusCode::OK, _, body) = answer else {
+            let why = answer.0.to_string();
+            return Err(Error::Down { why });
+        };
+        let listed: Vec<Listed> = http::parse(&body).map_err(|error| Error::Down {
+            why: error.to_string(),
+        })?;
+        Ok(listed
+            .into_iter()
+            .map(|object| Object {
+                name: object.name,
+                version: object.version,
+                value: object.value.into_bytes(),
+            })
+            .collect())
+    }
+
+    async fn watch(&self, name: &str, after: Version, wait: Duration) -> Result<Option<Object>> {
+        let path = format!("/{name}?after={}&wait_ms={}", after.0, wait.as_millis());
+        let request = self.request(Method::GET, &path);
+        match self.call(Kind::Read, wait, request, Bytes::new()).await? {
+            (StatusCode::OK, Some(version), value) => Ok(Some(Object {
+                name: name.to_owned(),
+                version,
+                value: value.to_vec(),
+            })),
+            (StatusCode::NOT_MODIFIED, _, _) => Ok(None),
+            (StatusCode::NOT_FOUND, _, _) => Err(Error::Missing {
+                name: name.to_owned(),
+            }),
+            (status, _, _) => Err(Error::Down {
+                why: status.to_string(),
+            }),
+        }
+    }
+}
