--- /dev/null
+++ b/crates/gather/src/route.rs
@@ -0,0 +1,30 @@
+//! Which hosts dispatch to a service.
+
+use rattanmast_model::{catalog::Service, host, host::Host, roster};
+
+/// Chooses the hosts that a root sends sub-queries to.
+pub trait Router: Send + Sync + 'static {
+    /// Returns the hosts that may dispatch to `service`, the first choice first.
+    fn hosts(&self, roster: &[Host], service: &Service) -> Vec<host::Name>;
+}
+
+/// The candidates of the roster: one dispatcher for each service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Candidates;
+
+impl Router for Candidates {
+    fn hosts(&self, roster: &[Host], service: &Service) -> Vec<host::Name> {
+        let hosts = roster::dispatchers(roster, service);
+        hosts.into_iter().map(|host| host.name.clone()).collect()
+    }
+}
+
+/// A baseline: every root dispatches to all leafs itself.
+#[derive(Clone, Debug)]
+pub struct Itself(pub host::Name);
+
+impl Router for Itself {
+    fn hosts(&self, _: &[Host], _: &Service) -> Vec<host::Name> {
+        vec![self.0.clone()]
+    }
+}
--- /dev/null
+++ b/crates/gather/src/stats.rs
@@ -0,0 +1,78 @@
+//! Counters for metrics.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A counter that only grows.
+#[derive(Debug, Default)]
+pub(crate) struct Counter(AtomicU64);
+
+impl Counter {
+    /// Adds `n`.
+    pub(crate) fn add(&self, n: u64) {
+        self.0.fetch_add(n, Ordering::Relaxed);
+    }
+
+    /// Returns the count.
+    pub(crate) fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// What a root counted since its start.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+        pub struct Stats {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        /// The live counters behind [`Stats`].
+        #[derive(Debug, Default)]
+        pub(crate) struct Counters {
+            $(pub(crate) $name: Counter,)*
+        }
+
+        impl Counters {
+            /// Returns the counts at this moment.
+            pub(crate) fn read(&self) -> Stats {
+                Stats { $($name: self.$name.get(),)* }
+            }
+        }
+
+        impl Stats {
+            /// Returns the counters' names and values, for metrics.
+            pub fn fields(&self) -> Vec<(&'static str, u64)> {
+                vec![$((stringify!($name), self.$name),)*]
+            }
+        }
+    };
+}
+
+counters! {
+    /// Queries taken.
+    queries,
+    /// Queries answered with the whole key space.
+    whole,
+    /// Queries answered in part.
+    partial,
+    /// Queries refused as not run.
+    not_run,
+    /// Queries that ended without an answer after a leaf may have begun.
+    unknown,
+    /// Queries refused by admission before any message was sent.
+    refused,
+    /// Queries refused because too many were in hand.
+    crowded,
+    /// Queries that restarted at a newer snapshot.
+    restarts,
+    /// Sub-queries sent, retries included.
+    subqueries,
+    /// Sub-queries sent again for missing ranges.
+    retries,
+    /// Retries that the budget did not allow.
+    unaffordable,
+    /// Replies dropped because they matched no open request.
+    unmatched,
+    /// Reply parts that were not accepted.
+    rejected,
+}
