Add the leaf model and the stand-ins in memory

Cause: the decision crates need leafs and a platform to run against on the paused clock, with answers that a test can check. Change: `fakes::model::Leaf` (slots, bounded queue, connection limit, faults, runs per order key), `memory::Fleet` behind `leaf::Connector`, `memory::Store` behind `store::Store`, `data::Data` for the objects of an installation. Tokio's timers round up to 1 ms, so drawn times are rounded at random with equal mean.

--- /dev/null
+++ b/crates/fakes/src/clock.rs
@@ -0,0 +1,50 @@
+//! Wall-clock time that follows tokio's clock in tests.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+/// The wall-clock time at which simulated clocks start, in milliseconds since the Unix epoch.
+pub const START_MS: u64 = 1_800_000_000_000;
+
+/// A source of wall-clock time.
+#[derive(Clone, Copy, Debug)]
+pub enum Wall {
+    /// The system's clock.
+    System,
+    /// [`START_MS`] at the given instant; advances with tokio's clock.
+    Simulated(Instant),
+}
+
+impl Wall {
+    /// Returns a clock that starts now at [`START_MS`].
+    pub fn simulated() -> Self {
+        Self::Simulated(Instant::now())
+    }
+
+    /// Returns the time in milliseconds since the Unix epoch.
+    pub fn now_ms(self) -> u64 {
+        self.now_ns() / 1_000_000
+    }
+
+    /// Returns the time in nanoseconds since the Unix epoch.
+    pub fn now_ns(self) -> u64 {
+        let time = match self {
+            Self::System => SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default(),
+            Self::Simulated(start) => Duration::from_millis(START_MS) + start.elapsed(),
+        };
+        u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Rounds `time` to whole milliseconds, up with the probability of the part cut off.
+///
+/// Tokio's timers fire at whole milliseconds, rounded up, which would turn 0.2 ms into 1 ms.
+/// With a `coin` drawn evenly from 0 to 1 the mean is kept.
+pub fn round(time: Duration, coin: f64) -> Duration {
+    let rest = f64::from(time.subsec_micros() % 1_000) / 1_000.0;
+    let whole = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    Duration::from_millis(whole.saturating_add(u64::from(coin < rest)))
+}
--- /dev/null
+++ b/crates/fakes/src/fleet.rs
@@ -0,0 +1,254 @@
+//! Leafs in memory.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_model::{
+    hash::{self, Map, Set},
+    host::{Domain, Name},
+    leaf::{self, Done, Error, Found, Order, Result, Search},
+    request,
+};
+use smol_str::SmolStr;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    clock::{self, Wall},
+    connection::Connection,
+    data::Data,
+    model::{Leaf, Settings},
+};
+
+/// One-way latency within a failure domain.
+const NEAR: Duration = Duration::from_micros(200);
+
+/// One-way latency between failure domains.
+const FAR: Duration = Duration::from_micros(1_500);
+
+/// The share by which latency varies in either direction.
+const JITTER: f64 = 0.1;
+
+/// The leafs of an installation; clones are handles to the same ones.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    leafs: Arc<Map<leaf::Name, Leaf>>,
+    net: Arc<Mutex<Net>>,
+}
+
+#[derive(Debug)]
+struct Net {
+    rng: SmallRng,
+    cut: Set<(Name, leaf::Name)>,
+}
+
+impl Fleet {
+    /// Returns the leafs of `data`, each with a seed of its own derived from `seed`.
+    pub fn new(data: &Data, settings: Settings, wall: Wall, seed: u64) -> Self {
+        let leafs = data.leafs.leafs.iter().map(|l| {
+            let seed = hash::stable([l.name.as_bytes(), &seed.to_le_bytes()]);
+            let mut collections = data.preset.collections.iter();
+            let limits = collections
+                .find(|c| c.name == l.service.collection)
+                .map(|c| c.limits)
+                .expect("a leaf's collection is one of the preset's");
+            let leaf = Leaf::new(l.name.clone(), limits, settings, wall, seed);
+            (l.name.clone(), leaf)
+        });
+        let fleet = Self {
+            leafs: Arc::new(leafs.collect()),
+            net: Arc::new(Mutex::new(Net {
+                rng: SmallRng::seed_from_u64(seed),
+                cut: Set::default(),
+            })),
+        };
+        fleet.load(data);
+        fleet
+    }
+
+    /// Makes the leafs hold what `data` places on them, at once.
+    pub fn load(&self, data: &Data) {
+        let mut holdings = data.holdings();
+        for (name, leaf) in &*self.leafs {
+            leaf.hold(holdings.remove(name).unwrap_or_default());
+        }
+    }
+
+    /// Returns the leaf named `name`.
+    ///
+    /// # Panics
+    ///
+    /// If there is none.
+    pub fn leaf(&self, name: &str) -> &Leaf {
+        self.leafs.get(name).expect("the name is that of a leaf")
+    }
+
+    /// Returns all leafs in ascending order of name.
+    pub fn leafs(&self) -> Vec<&Leaf> {
+        let mut leafs: Vec<_> = self.leafs.iter().collect();
+        leafs.sort_unstable_by_key(|(name, _)| *name);
+        leafs.into_iter().map(|(_, leaf)| leaf).collect()
+    }
+
+    /// Returns the connector of `host`, which runs in `domain`.
+    pub fn connector(&self, host: &str, domain: &str) -> Connector {
+        Connector {
+            fleet: self.clone(),
+            host: SmolStr::new(host),
+            domain: SmolStr::new(domain),
+        }
+    }
+
+    /// Sets whether the path between `host` and `leaf` is cut.
+    ///
+    /// On a cut path attempts to connect hang, and what is in flight stays without reply.
+    pub fn cut(&self, host: &str, leaf: &str, cut: bool) {
+        let path = (SmolStr::new(host), SmolStr::new(leaf));
+        let mut net = self.lock();
+        if cut {
+            net.cut.insert(path);
+        } else {
+            net.cut.remove(&path);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Net> {
+        self.net
+            .lock()
+            .expect("no code panics while it holds the lock")
+    }
+}
+
+/// Opens connections from one host.
+#[derive(Clone, Debug)]
+pub struct Connector {
+    fleet: Fleet,
+    host: Name,
+    domain: Domain,
+}
+
+/// A path between a host and a leaf.
+#[derive(Clone, Debug)]
+struct Path {
+    fleet: Fleet,
+    ends: (Name, leaf::Name),
+    latency: Duration,
+}
+
+impl Path {
+    fn delay(&self) -> Duration {
+        let rng = &mut self.fleet.lock().rng;
+        let spread = rng.random_range(-JITTER..=JITTER);
+        clock::round(self.latency.mul_f64(1.0 + spread), rng.random())
+    }
+
+    /// Waits for one message to get from one end to the other.
+    async fn cross(&self) {
+        sleep(self.delay()).await;
+        let cut = self.fleet.lock().cut.contains(&self.ends);
+        if cut {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl leaf::Connector for Connector {
+    type Link = Link;
+
+    async fn open(&self, leaf: &leaf::Leaf) -> Result<Link> {
+        let latency = if leaf.domain == self.domain {
+            NEAR
+        } else {
+            FAR
+        };
+        let path = Path {
+            fleet: self.fleet.clone(),
+            ends: (self.host.clone(), leaf.name.clone()),
+            latency,
+        };
+        path.cross().await;
+        let Some(model) = self.fleet.leafs.get(&leaf.name) else {
+            let why = SmolStr::new_static("no such leaf");
+            return Err(Error::Connect { why });
+        };
+        let connection = model.connect();
+        if connection.is_ok() {
+            sleep(Duration::from_millis(model.limits().open_ms.into())).await;
+        }
+        path.cross().await;
+        connection.map(|connection| Link {
+            path,
+            connection: Some(connection),
+        })
+    }
+}
+
+/// A connection from a host to a leaf; dropping it closes it.
+#[derive(Debug)]
+pub struct Link {
+    path: Path,
+    connection: Option<Connection>,
+}
+
+impl Link {
+    fn connection(&self) -> &Connection {
+        let connection = self.connection.as_ref();
+        connection.expect("the connection is taken only when the link is dropped")
+    }
+}
+
+impl leaf::Link for Link {
+    async fn search(&mut self, search: &Search) -> Result<Found> {
+        self.path.cross().await;
+        let result = self.connection().search(search).await;
+        self.path.cross().await;
+        result
+    }
+
+    async fn order(&mut self, order: &Order) -> Result<Done> {
+        self.path.cross().await;
+        let result = self.connection().order(order).await;
+        self.path.cross().await;
+        result
+    }
+
+    async fn cancel(&mut self, id: request::Id) -> Result<()> {
+        self.path.cross().await;
+        let result = self.connection().cancel(id).await;
+        self.path.cross().await;
+        result
+    }
+
+    async fn close(mut self, wait: Duration) -> bool {
+        let connection = self.connection.take();
+        let path = self.path.clone();
+        let closed = async {
+            path.cross().await;
+            let open = connection.as_ref().is_some_and(Connection::is_open);
+            drop(connection);
+            if !open {
+                std::future::pending::<()>().await;
+            }
+            path.cross().await;
+        };
+        timeout(wait, closed).await.is_ok()
+    }
+}
+
+impl Drop for Link {
+    /// The leaf learns of the close one latency later.
+    fn drop(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        let delay = self.path.delay();
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move {
+                sleep(delay).await;
+                drop(connection);
+            });
+        }
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,15 @@
 //! Stand-ins for the platform, leafs and a faulty network.
+//!
+//! They are small and behave at the interfaces only. Everything random comes
+//! from a seed; on a single-threaded, paused runtime two runs are equal.
+
+pub mod behavior;
+pub mod clock;
+pub mod connection;
+pub mod data;
+pub mod fleet;
+pub mod memory;
+pub mod model;
+pub mod records;
+pub mod slots;
+pub mod store;
--- /dev/null
+++ b/crates/fakes/src/records.rs
@@ -0,0 +1,78 @@
+//! The records of a collection, generated from (collection, snapshot, key).
+//!
+//! A record's key and identifier are the same in all snapshots. Whether it
+//! exists, and its text, depend on the snapshot, so that a mix of snapshots
+//! shows in counts and in rows.
+
+use rattanmast_model::{
+    catalog::Snapshot,
+    hash,
+    leaf::{Part, Row},
+    range::{Range, SPACE_END},
+};
+use smol_str::{SmolStr, format_smolstr};
+
+/// The number of keys that at most one record falls into.
+const CELL: u64 = 1 << 22;
+
+/// The number of different terms that records can be searched for.
+pub const TERMS: u64 = 64;
+
+/// Returns the search text that matches about one of [`TERMS`] records.
+pub fn term(number: u64) -> SmolStr {
+    format_smolstr!("profile-{:02}", number % TERMS)
+}
+
+/// Returns the number of records of `snapshot` in `range`.
+pub fn count(collection: &str, snapshot: Snapshot, range: Range) -> u64 {
+    keys(collection, snapshot, range).map(|_| 1).sum()
+}
+
+/// Returns the records of `snapshot` in `range` that match `text`, in ascending order of key.
+///
+/// An empty text matches all records; else it must be a [`term`].
+pub fn rows(collection: &str, snapshot: Snapshot, range: Range, text: &str) -> Vec<Row> {
+    part(collection, snapshot, range, text).rows
+}
+
+/// Returns what a leaf that holds `range` answers for it.
+pub fn part(collection: &str, snapshot: Snapshot, range: Range, text: &str) -> Part {
+    let mut records = 0;
+    let wanted = (0..TERMS).find(|n| term(*n) == text);
+    let rows = keys(collection, snapshot, range)
+        .inspect(|_| records += 1)
+        .filter(|(_, hash)| text.is_empty() || wanted == Some(number(*hash)))
+        .map(|(key, hash)| Row {
+            key,
+            record: format_smolstr!("r-{:04}", key / CELL),
+            text: format_smolstr!("{} snapshot-{}", term(number(hash)), snapshot.0),
+        })
+        .collect();
+    Part {
+        range,
+        records,
+        rows,
+    }
+}
+
+const fn number(hash: u64) -> u64 {
+    (hash >> 32) % TERMS
+}
+
+/// Yields the keys of the records that exist, each with the hash of its content.
+fn keys(
+    collection: &str,
+    snapshot: Snapshot,
+    range: Range,
+) -> impl Iterator<Item = (u64, u64)> + use<> {
+    let end = range.end.min(SPACE_END);
+    let cells = (range.start / CELL)..end.div_ceil(CELL);
+    let collection = hash::stable([collection.as_bytes()]);
+    cells
+        .map(move |cell| {
+            let identity = hash::mix(collection ^ hash::mix(cell));
+            let content = hash::mix(identity ^ snapshot.0);
+            (cell * CELL + identity % CELL, content)
+        })
+        .filter(move |(key, content)| range.contains(*key) && content % 8 != 0)
+}
--- /dev/null
+++ b/crates/fakes/src/store.rs
@@ -0,0 +1,365 @@
+//! The platform's object service in memory.
+
+use std::{
+    collections::BTreeMap,
+    ops::RangeInclusive,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_model::{
+    hash::Set,
+    store::{self, Error, Object, Result, VALUE_LIMIT, Version},
+};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use crate::clock;
+
+/// Faults that can be switched on.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Whether all calls fail.
+    pub down: bool,
+    /// The factor on the time that a call takes.
+    pub slow: f64,
+    /// The share of writes whose answer is lost after they took effect, from 0 to 1.
+    pub lose_answer: f64,
+    /// The number of next writes whose answer is lost after they took effect.
+    pub lose_next: u32,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            down: false,
+            slow: 1.0,
+            lose_answer: 0.0,
+            lose_next: 0,
+        }
+    }
+}
+
+/// Calls by kind; failed ones count too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Calls {
+    /// Reads.
+    pub get: u64,
+    /// Conditional creations.
+    pub create: u64,
+    /// Conditional updates.
+    pub update: u64,
+    /// Deletions.
+    pub delete: u64,
+    /// Lists.
+    pub list: u64,
+    /// Watches.
+    pub watch: u64,
+}
+
+impl Calls {
+    /// Returns the number of calls that write.
+    pub const fn writes(&self) -> u64 {
+        self.create + self.update + self.delete
+    }
+
+    /// Returns the number of all calls.
+    pub const fn total(&self) -> u64 {
+        self.writes() + self.get + self.list + self.watch
+    }
+}
+
+/// The object service as one client sees it; clones share the objects.
+#[derive(Clone, Debug)]
+pub struct Store {
+    client: SmolStr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    /// Changes with every write and every change of faults.
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct State {
+    objects: BTreeMap<String, (Version, Vec<u8>)>,
+    version: Version,
+    faults: Faults,
+    cut: Set<SmolStr>,
+    latency: RangeInclusive<Duration>,
+    rng: SmallRng,
+    calls: Calls,
+    by_client: BTreeMap<SmolStr, Calls>,
+}
+
+impl Store {
+    /// Returns an empty store whose calls take 2 to 8 ms.
+    pub fn new(seed: u64) -> Self {
+        let state = State {
+            objects: BTreeMap::new(),
+            version: Version(0),
+            faults: Faults::default(),
+            cut: Set::default(),
+            latency: Duration::from_millis(2)..=Duration::from_millis(8),
+            rng: SmallRng::seed_from_u64(seed),
+            calls: Calls::default(),
+            by_client: BTreeMap::new(),
+        };
+        Self {
+            client: SmolStr::default(),
+            shared: Arc::new(Shared {
+                state: Mutex::new(state),
+                changed: watch::Sender::new(0),
+            }),
+        }
+    }
+
+    /// Returns a handle whose calls are counted for, and can be cut off as, `name`.
+    #[must_use]
+    pub fn client(&self, name: &str) -> Self {
+        Self {
+            client: SmolStr::new(name),
+            shared: Arc::clone(&self.shared),
+        }
+    }
+
+    /// Sets the time that calls take.
+    pub fn set_latency(&self, latency: RangeInclusive<Duration>) {
+        self.lock().latency = latency;
+    }
+
+    /// Replaces the faults that are switched on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+        self.wake();
+    }
+
+    /// Returns the faults that are switched on.
+    pub fn faults(&self) -> Faults {
+        self.lock().faults
+    }
+
+    /// Sets whether the client `name` is cut off from the platform.
+    pub fn cut(&self, name: &str, cut: bool) {
+        let mut state = self.lock();
+        if cut {
+            state.cut.insert(SmolStr::new(name));
+        } else {
+            state.cut.remove(name);
+        }
+        drop(state);
+        self.wake();
+    }
+
+    /// Returns the calls of all clients.
+    pub fn calls(&self) -> Calls {
+        self.lock().calls
+    }
+
+    /// Returns the calls of the client `name`.
+    pub fn calls_of(&self, name: &str) -> Calls {
+        let state = self.lock();
+        state.by_client.get(name).copied().unwrap_or_default()
+    }
+
+    /// Writes an object at once, unconditionally and without counting a call.
+    pub fn put(&self, name: &str, value: &[u8]) -> Version {
+        let version = self.lock().write(name, value);
+        self.wake();
+        version
+    }
+
+    /// Reads an object at once, without counting a call.
+    pub fn peek(&self, name: &str) -> Option<Object> {
+        self.lock().read(name)
+    }
+
+    /// Returns the names of all objects at once, without counting a call.
+    pub fn names(&self) -> Vec<String> {
+        self.lock().objects.keys().cloned().collect()
+    }
+
+    fn count(&self, kind: impl Fn(&mut Calls)) {
+        let mut state = self.lock();
+        kind(&mut state.calls);
+        kind(state.by_client.entry(self.client.clone()).or_default());
+    }
+
+    /// Takes the time of half a call, then checks that the platform can be reached.
+    async fn half(&self) -> Result<()> {
+        let time = {
+            let mut state = self.lock();
+            let latency = state.latency.clone();
+            let slow = state.faults.slow;
+            let time = state.rng.random_range(latency).mul_f64(slow.max(0.0) / 2.0);
+            clock::round(time, state.rng.random())
+        };
+        sleep(time).await;
+        self.reachable()
+    }
+
+    fn reachable(&self) -> Result<()> {
+        let state = self.lock();
+        let why = match () {
+            () if state.faults.down => "fault: outage",
+            () if state.cut.contains(&self.client) => "fault: cut off",
+            () => return Ok(()),
+        };
+        let why = why.to_owned();
+        Err(Error::Down { why })
+    }
+
+    async fn write<T>(&self, change: impl FnOnce(&mut State) -> Result<T> + Send) -> Result<T> {
+        self.half().await?;
+        let (result, lost) = {
+            let mut state = self.lock();
+            let result = change(&mut state);
+            (result, state.lose())
+        };
+        if result.is_ok() {
+            self.wake();
+        }
+        match self.half().await {
+            Ok(()) if !lost => result,
+            Ok(()) => Err(Error::Lost {
+                why: "fault: answer lost".to_owned(),
+            }),
+            Err(error) => Err(Error::Lost {
+                why: error.to_string(),
+            }),
+        }
+    }
+
+    fn wake(&self) {
+        self.shared.changed.send_modify(|n| *n += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let lock = self.shared.state.lock();
+        lock.expect("no code panics while it holds the lock")
+    }
+}
+
+impl State {
+    fn read(&self, name: &str) -> Option<Object> {
+        self.objects.get(name).map(|(version, value)| Object {
+            name: name.to_owned(),
+            version: *version,
+            value: value.clone(),
+        })
+    }
+
+    fn write(&mut self, name: &str, value: &[u8]) -> Version {
+        self.version.0 += 1;
+        let entry = (self.version, value.to_vec());
+        self.objects.insert(name.to_owned(), entry);
+        self.version
+    }
+
+    fn lose(&mut self) -> bool {
+        if self.faults.lose_next > 0 {
+            self.faults.lose_next -= 1;
+            return true;
+        }
+        let share = self.faults.lose_answer;
+        share > 0.0 && self.rng.random_bool(share.min(1.0))
+    }
+}
+
+fn check_size(name: &str, value: &[u8]) -> Result<()> {
+    if value.len() > VALUE_LIMIT {
+        let name = name.to_owned();
+        return Err(Error::Large { name });
+    }
+    Ok(())
+}
+
+impl store::Store for Store {
+    async fn get(&self, name: &str) -> Result<Object> {
+        self.count(|c| c.get += 1);
+        self.half().await?;
+        let object = self.lock().read(name);
+        self.half().await?;
+        let name = name.to_owned();
+        object.ok_or(Error::Missing { name })
+    }
+
+    async fn create(&self, name: &str, value: &[u8]) -> Result<Version> {
+        self.count(|c| c.create += 1);
+        check_size(name, value)?;
+        self.write(|state| match state.objects.contains_key(name) {
+            true => Err(Error::Conflict {
+                name: name.to_owned(),
+            }),
+            false => Ok(state.write(name, value)),
+        })
+        .await
+    }
+
+    async fn update(&self, name: &str, version: Version, value: &[u8]) -> Result<Version> {
+        self.count(|c| c.update += 1);
+        check_size(name, value)?;
+        self.write(|state| match state.objects.get(name) {
+            Some((current, _)) if *current == version => Ok(state.write(name, value)),
+            Some(_) => Err(Error::Conflict {
+                name: name.to_owned(),
+            }),
+            None => Err(Error::Missing {
+                name: name.to_owned(),
+            }),
+        })
+        .await
+    }
+
+    async fn delete(&self, name: &str) -> Result<()> {
+        self.count(|c| c.delete += 1);
+        self.write(|state| {
+            state.objects.remove(name);
+            Ok(())
+        })
+        .await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Object>> {
+        self.count(|c| c.list += 1);
+        self.half().await?;
+        let objects = {
+            let state = self.lock();
+            let names = state.objects.range(prefix.to_owned()..);
+            names
+                .take_while(|(name, _)| name.starts_with(prefix))
+                .filter_map(|(name, _)| state.read(name))
+                .collect()
+        };
+        self.half().await?;
+        Ok(objects)
+    }
+
+    async fn watch(&self, name: &str, after: Version, wait: Duration) -> Result<Option<Object>> {
+        self.count(|c| c.watch += 1);
+        let mut changed = self.shared.changed.subscribe();
+        self.half().await?;
+        let newer = async {
+            loop {
+                changed.mark_unchanged();
+                self.reachable()?;
+                let object = self.lock().read(name).filter(|o| o.version > after);
+                if object.is_some() || changed.changed().await.is_err() {
+                    return Ok(object);
+                }
+            }
+        };
+        let object = timeout(wait, newer).await.unwrap_or(Ok(None))?;
+        self.half().await?;
+        Ok(object)
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/store.rs
@@ -0,0 +1,132 @@
+//! Tests of the object service in memory, and of the objects of an installation.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use rattanmast_fakes::{
+    data::Data,
+    memory::Store,
+    store::{Calls, Faults},
+};
+use rattanmast_model::{
+    preset::Preset,
+    range::{SPACE, Set},
+    store::{Error, Store as _, Version},
+};
+use tokio::time::{Instant, sleep};
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// Guards against lost updates and double creations.
+#[tokio::test(start_paused = true)]
+async fn writes_are_conditional() {
+    let store = Store::new(1);
+    let first = store.create("a", b"1").await.unwrap();
+    let error = store.create("a", b"2").await.unwrap_err();
+    assert!(matches!(error, Error::Conflict { .. }));
+    let second = store.update("a", first, b"3").await.unwrap();
+    assert!(second > first);
+    let error = store.update("a", first, b"4").await.unwrap_err();
+    assert!(matches!(error, Error::Conflict { .. }));
+    assert_eq!(store.get("a").await.unwrap().value, b"3");
+    store.delete("a").await.unwrap();
+    let error = store.update("a", second, b"5").await.unwrap_err();
+    assert!(matches!(error, Error::Missing { .. }));
+    assert!(store.create("a", b"6").await.unwrap() > second);
+    let large = vec![0; (1 << 20) + 1];
+    let error = store.create("b", &large).await.unwrap_err();
+    assert!(matches!(error, Error::Large { .. }));
+}
+
+/// Guards against a watch that misses a change or returns an old one.
+#[tokio::test(start_paused = true)]
+async fn watches_see_changes() {
+    let store = Store::new(1);
+    let version = store.put("a", b"1");
+    let start = Instant::now();
+    assert_eq!(store.watch("a", version, LONG).await.unwrap(), None);
+    assert!(start.elapsed() >= LONG);
+    let (seen, ()) = tokio::join!(store.watch("a", version, LONG), async {
+        sleep(Duration::from_secs(1)).await;
+        store.put("b", b"other");
+        store.put("a", b"2");
+    });
+    assert_eq!(seen.unwrap().unwrap().value, b"2");
+    let seen = store.watch("a", Version(0), LONG).await;
+    assert_eq!(seen.unwrap().unwrap().value, b"2");
+}
+
+/// Guards against an outage that lets calls through, and a lost answer whose write is undone.
+#[tokio::test(start_paused = true)]
+async fn outages_and_lost_answers() {
+    let store = Store::new(1);
+    let faults = Faults {
+        lose_next: 1,
+        ..Faults::default()
+    };
+    store.set_faults(faults);
+    let error = store.create("a", b"1").await.unwrap_err();
+    assert!(matches!(error, Error::Lost { .. }));
+    let version = store.get("a").await.unwrap().version;
+    let down = Faults {
+        down: true,
+        ..Faults::default()
+    };
+    let (seen, ()) = tokio::join!(store.watch("a", version, LONG), async {
+        sleep(Duration::from_secs(1)).await;
+        store.set_faults(down);
+    });
+    assert!(matches!(seen, Err(Error::Down { .. })));
+    let error = store.update("a", version, b"2").await.unwrap_err();
+    assert!(matches!(error, Error::Down { .. }));
+    store.set_faults(Faults::default());
+    assert_eq!(store.get("a").await.unwrap().value, b"1");
+    let cut = store.client("h1");
+    store.cut("h1", true);
+    assert!(matches!(cut.get("a").await, Err(Error::Down { .. })));
+    store.get("a").await.unwrap();
+    let mine = Calls {
+        get: 1,
+        ..Calls::default()
+    };
+    assert_eq!(store.calls_of("h1"), mine);
+    assert_eq!(store.calls().total(), 7);
+}
+
+/// Guards against a prefix that lists strangers, and a wrong order.
+#[tokio::test(start_paused = true)]
+async fn lists_by_prefix() {
+    let store = Store::new(1);
+    for name in ["b/2", "b/1", "a", "c"] {
+        store.put(name, name.as_bytes());
+    }
+    let listed = store.list("b/").await.unwrap();
+    let names: Vec<_> = listed.into_iter().map(|o| o.name).collect();
+    assert_eq!(names, ["b/1", "b/2"]);
+}
+
+/// Guards against parts that overlap, leave gaps or miscount after data has moved.
+#[test]
+fn moved_data_covers_all_keys() {
+    for preset in [Preset::norway(), Preset::switzerland()] {
+        let collection = preset.searched;
+        let mut data = Data::new(preset);
+        let total = data.newest(collection).records();
+        data.split(collection, 3);
+        data.shift(collection, 4, 0);
+        data.merge(collection, 9);
+        let version = data.newest(collection);
+        let mut keys = Set::new();
+        for part in &version.parts {
+            assert!(!keys.overlaps(part.range));
+            keys.insert(part.range);
+        }
+        assert!(keys.covers(SPACE));
+        assert_eq!(version.records(), total);
+        assert_eq!(version.parts[4].service, 0);
+        let objects = data.objects();
+        assert_eq!(objects.len(), 8);
+        assert!(objects.iter().all(|(_, value)| value.len() < 1 << 20));
+    }
+}
