Decide retries, admission, restarts and coverage claims at the root

Cause: the first version neither retried nor refused, and trusted the catalog's record counts. Admission, budget and router are behind traits with plain baselines. Conclusion: the root's decisions are in place and can be tested.

--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -1,14 +1,27 @@
 //! Queries: snapshots, coverage, routing, merging.
 //!
 //! [`Gatherer`] decides everything that the root decides about a query. It
-//! reaches other hosts only through [`rattanmast_model::peer::Peers`].
+//! reaches other hosts only through [`rattanmast_model::peer::Peers`]. The
+//! decisions that measurements compare are behind the traits of [`policy`].
 
+pub mod admit;
+mod ask;
+mod attempt;
+pub mod claim;
 pub mod cover;
+mod flight;
 pub mod gatherer;
+pub mod matching;
+mod missed;
+mod pace;
 pub mod pin;
+mod place;
+pub mod policy;
+pub mod retry;
 pub mod route;
 mod run;
 pub mod settings;
+mod shared;
 pub mod stats;
 mod view;
 
--- /dev/null
+++ b/crates/gather/src/place.rs
@@ -0,0 +1,64 @@
+//! Where else to ask for keys that a service no longer holds.
+
+use rattanmast_model::{
+    catalog::{Catalog, Part, Snapshot},
+    leaf,
+    peer::Ask,
+    range::{Range, Set},
+};
+
+/// A service and the leafs of it that were asked.
+pub(crate) type Place = (u16, Vec<leaf::Name>);
+
+/// Groups `parts` into one ask for each service and set of leafs.
+pub(crate) fn asks<'a>(parts: impl IntoIterator<Item = &'a Part>) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    for part in parts {
+        add(&mut asks, part, part.range);
+    }
+    asks
+}
+
+/// Returns where to ask for `missing`, and the keys for which no new place is known.
+///
+/// The catalog's newest data for `snapshot` goes first. The layouts of other
+/// snapshots follow, because data that moved while the catalog lagged is often
+/// where they say; `snapshot` itself is asked for there too.
+pub(crate) fn elsewhere(
+    catalog: &Catalog,
+    snapshot: Snapshot,
+    missing: Set,
+    tried: &[Place],
+) -> (Vec<Ask>, Set) {
+    let mut versions: Vec<_> = catalog.versions.iter().collect();
+    versions.sort_unstable_by_key(|v| (v.snapshot != snapshot, std::cmp::Reverse(v.snapshot)));
+    let (mut asks, mut rest) = (Vec::new(), missing);
+    for part in versions.into_iter().flat_map(|v| &v.parts) {
+        if tried
+            .iter()
+            .any(|(s, l)| *s == part.service && *l == part.leafs)
+        {
+            continue;
+        }
+        for range in rest.ranges().to_vec() {
+            if let Some(both) = range.intersect(part.range) {
+                add(&mut asks, part, both);
+                rest.remove(both);
+            }
+        }
+    }
+    (asks, rest)
+}
+
+/// Adds `range` of `part` to `asks`.
+fn add(asks: &mut Vec<Ask>, part: &Part, range: Range) {
+    let same = |a: &&mut Ask| a.service == part.service && a.leafs == part.leafs;
+    match asks.iter_mut().find(same) {
+        Some(ask) => ask.ranges.push(range),
+        None => asks.push(Ask {
+            service: part.service,
+            ranges: vec![range],
+            leafs: part.leafs.clone(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/gather/src/policy.rs
@@ -0,0 +1,68 @@
+//! The decisions that measurements compare with plain baselines.
+
+use crate::{
+    Settings,
+    admit::{self, Admission},
+    retry::{self, Budget},
+    route::{self, Router},
+};
+
+/// A choice of admission, retry budget and router.
+pub trait Policy: Send + Sync + 'static {
+    /// Admits or refuses whole queries.
+    type Admission: Admission;
+    /// Allows or forbids retries.
+    type Budget: Budget;
+    /// Chooses dispatchers.
+    type Router: Router;
+
+    /// Returns the admission.
+    fn admission(&self) -> &Self::Admission;
+    /// Returns the retry budget.
+    fn budget(&self) -> &Self::Budget;
+    /// Returns the router.
+    fn router(&self) -> &Self::Router;
+}
+
+/// A policy made of its three parts.
+#[derive(Clone, Debug)]
+pub struct Bundle<A, B, R> {
+    /// Admits or refuses whole queries.
+    pub admission: A,
+    /// Allows or forbids retries.
+    pub budget: B,
+    /// Chooses dispatchers.
+    pub router: R,
+}
+
+/// The policy of a host.
+pub type Standard = Bundle<admit::Waits, retry::Share, route::Candidates>;
+
+impl Standard {
+    /// Returns the policy of a host with `settings`; `seed` decides the admission ramp.
+    pub fn new(settings: &Settings, seed: u64) -> Self {
+        Self {
+            admission: admit::Waits::new(settings, seed),
+            budget: retry::Share::new(settings.retry_share, settings.retry_burst),
+            router: route::Candidates,
+        }
+    }
+}
+
+impl<A: Admission, B: Budget, R: Router> Policy for Bundle<A, B, R> {
+    type Admission = A;
+    type Budget = B;
+    type Router = R;
+
+    fn admission(&self) -> &A {
+        &self.admission
+    }
+
+    fn budget(&self) -> &B {
+        &self.budget
+    }
+
+    fn router(&self) -> &R {
+        &self.router
+    }
+}
--- a/crates/gather/src/run.rs
+++ b/crates/gather/src/run.rs
@@ -1,192 +1,188 @@
-//! One query from its first sub-query to its answer.
+//! One query from its admission to its answer.
 
 use std::sync::Arc;
 
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use rattanmast_model::{
-    catalog::Version,
-    hash::Map,
-    host, leaf,
     outcome::{Outcome, Reason},
-    peer::{Ask, Peers, Subquery},
+    peer::{self, Peers, Subquery, Subreply},
     query::{Answer, Hop, Query},
-    range::{Range, Set},
+    request,
 };
 use smol_str::SmolStr;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
-    cover::Cover,
-    gatherer::{Result, Shared, refuse},
-    route::Router,
+    admit::Admission as _,
+    attempt::Attempt,
+    claim::{Claim, claim},
+    flight::Item,
+    gatherer::Result,
+    pin::Pin,
+    policy::Policy,
+    shared::{Shared, refuse},
     view::View,
 };
 
 /// A query in hand.
-pub(crate) struct Run<'a, P, R> {
-    shared: &'a Shared<P, R>,
-    query: &'a Query,
-    view: Arc<View>,
-    deadline: Instant,
-    hops: Vec<Hop>,
-    sent: u32,
-    needed: u32,
-    begun: bool,
+pub(crate) struct Run<'a, P, Y> {
+    pub(crate) shared: &'a Shared<P, Y>,
+    pub(crate) query: &'a Query,
+    pub(crate) deadline: Instant,
+    /// Whether the query has restarted at a newer snapshot.
+    pub(crate) restarted: bool,
+    /// Whether any leaf may have begun work for it, at any snapshot.
+    pub(crate) begun: bool,
+    pub(crate) sent: u32,
+    pub(crate) hops: Vec<Hop>,
 }
 
-impl<'a, P: Peers, R: Router> Run<'a, P, R> {
+/// What an attempt wants done.
+pub(crate) enum Step {
+    /// Send a message.
+    Send(rattanmast_model::host::Name, Subquery),
+    /// Wait until then, and ask again.
+    Wait(Instant, Vec<Item>),
+}
+
+/// What was done.
+pub(crate) enum Event {
+    /// The call that sent the message `id` ended.
+    Reply(request::Id, peer::Result<Subreply>),
+    /// The wait is over.
+    Again(Vec<Item>),
+}
+
+/// How an attempt ended.
+pub(crate) enum End {
+    /// Nothing more can be gained in time.
+    Done,
+    /// The snapshot is gone, and there is time for a newer one.
+    Restart(Pin),
+}
+
+impl<'a, P: Peers, Y: Policy> Run<'a, P, Y> {
     /// Returns the run of `query`, whose time starts now.
-    pub(crate) fn new(shared: &'a Shared<P, R>, query: &'a Query) -> Self {
+    pub(crate) fn new(shared: &'a Shared<P, Y>, query: &'a Query) -> Self {
         let time = query.timeout.min(query.search.longest_wait());
         Self {
             shared,
             query,
-            view: shared.view(),
             deadline: Instant::now() + time,
-            hops: Vec::new(),
-            sent: 0,
-            needed: 0,
+            restarted: false,
             begun: false,
+            sent: 0,
+            hops: Vec::new(),
         }
     }
 
-    /// Asks all dispatchers and merges their replies.
+    /// Admits the query, asks all dispatchers and merges their replies.
     pub(crate) async fn answer(mut self) -> Result<Answer> {
-        let Some(version) = self.view.pinned(&self.query.search.collection).cloned() else {
+        let view = self.shared.view();
+        let Some(pin) = view.pinned(&self.query.search.collection) else {
             let remedy = "this host knows no snapshot of the collection; check its catalog";
             return Err(refuse(Reason::Unreachable, remedy));
         };
-        let mut cover = Cover::new(self.shared.settings.rows);
-        let mut calls = FuturesUnordered::new();
-        for (host, asks) in self.batches(&version) {
-            let asked = Set::of(asks.iter().flat_map(|a| a.ranges.iter().copied()));
-            self.needed += u32::try_from(asks.len()).unwrap_or(u32::MAX);
-            let message = self.message(&version, asks);
-            let peers = self.shared.peers.clone();
-            let time = self.deadline.saturating_duration_since(Instant::now());
-            self.shared.counters.subqueries.add(1);
-            calls.push(async move {
-                let (id, start) = (message.id, Instant::now());
-                let reply = peers.subquery(&host, message, time).await;
-                (host, id, start, asked, reply)
-            });
-        }
-        while let Ok(Some((host, id, start, asked, reply))) =
-            timeout_at(self.deadline, calls.next()).await
-        {
-            let Ok(reply) = reply else {
-                self.begun = true;
-                continue;
-            };
-            if reply.id != id || reply.snapshot != version.snapshot {
-                self.begun = true;
-                self.shared.counters.unmatched.add(1);
-                continue;
-            }
-            self.begun |= reply.begun;
-            self.sent += reply.sent;
-            self.hops.push(Hop {
-                host: host.clone(),
-                total_us: u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX),
-                leaf_us: reply.leaf_us,
-            });
-            for part in reply.parts {
-                cover.accept(part, &asked);
+        self.admit(&view, pin)?;
+        let mut pin = Arc::clone(pin);
+        loop {
+            let mut attempt = Attempt::new(&mut self, &pin);
+            match drive(&mut attempt).await {
+                End::Restart(newer) => {
+                    attempt.abandon();
+                    self.shared.counters.restarts.add(1);
+                    self.restarted = true;
+                    pin = Arc::new(newer);
+                }
+                End::Done => return attempt.finish(),
             }
-            self.shared.report(&host, reply.report);
         }
-        self.begun |= !calls.is_empty();
-        self.finish(&version, cover)
     }
 
-    /// Groups the parts of `version` by dispatcher.
-    fn batches(&self, version: &Version) -> Vec<(host::Name, Vec<Ask>)> {
-        let mut batches: Map<host::Name, Vec<Ask>> = Map::default();
-        for part in &version.parts {
-            let hosts = self.view.hosts(&self.query.search.collection, part.service);
-            let usable = hosts.iter().find(|h| self.shared.peers.usable(h));
-            let Some(host) = usable.or(hosts.first()) else {
-                continue;
-            };
-            let asks = batches.entry(host.clone()).or_default();
-            add(asks, part.service, part.range, &part.leafs);
-        }
-        let mut batches: Vec<_> = batches.into_iter().collect();
-        batches.sort_unstable_by(|a, b| a.0.cmp(&b.0));
-        batches
+    /// Returns the time left.
+    pub(crate) fn left(&self) -> std::time::Duration {
+        self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the message for `asks`.
-    fn message(&self, version: &Version, asks: Vec<Ask>) -> Subquery {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let budget = left.saturating_sub(self.shared.settings.hop_margin);
-        Subquery {
-            id: self.shared.ids.next(),
-            config: self.view.config.version,
-            collection: self.query.search.collection.clone(),
-            snapshot: version.snapshot,
-            open: u32::try_from(version.parts.len()).unwrap_or(u32::MAX),
-            asks,
-            text: self.query.text.clone(),
-            rank: self.query.rank,
-            priority: self.query.search.priority,
-            budget_ms: u32::try_from(budget.as_millis()).unwrap_or(u32::MAX),
-            trace: self.query.trace,
+    /// Refuses the query if it has too little time, or its dispatchers too long queues.
+    fn admit(&self, view: &View, pin: &Pin) -> Result<()> {
+        let left = self.left();
+        if left <= self.shared.settings.hop_margin {
+            let remedy = "the time left is shorter than a hop; allow more time";
+            return Err(refuse(Reason::Late, remedy));
         }
-    }
-
-    /// Returns the answer that `cover` gives, if it is acceptable.
-    fn finish(self, version: &Version, cover: Cover) -> Result<Answer> {
-        let whole = cover.whole();
-        let records = cover.records();
-        let total = if whole {
-            records
-        } else {
-            version.records().max(records)
-        };
-        let coverage = match (whole, total) {
-            (true, _) => 1.0,
-            (false, 0) => 0.0,
-            (false, total) => records as f64 / total as f64,
-        };
-        if cover.keys().is_empty() || coverage < self.query.search.least_coverage {
-            return Err(self.refusal());
+        let collection = &self.query.search.collection;
+        let paths = pin.asks.iter().filter_map(|ask| {
+            let route = view.route(collection, ask.service)?;
+            let usable = route.hosts.iter().find(|h| self.shared.peers.usable(h));
+            Some((usable.or(route.hosts.first())?, &route.service))
+        });
+        let admission = self.shared.policy.admission();
+        if admission.admit(self.query.rank, left, paths) {
+            return Ok(());
         }
-        Ok(Answer {
-            snapshot: version.snapshot,
-            coverage,
-            records,
-            total,
-            missing: cover.missing().ranges().to_vec(),
-            rows: cover.into_rows(),
-            hops: self.hops,
-            sent: self.sent,
-            needed: self.needed,
-        })
+        self.shared.counters.refused.add(1);
+        let remedy = "expected wait is too long for the time left; send it again later";
+        Err(refuse(Reason::Overload, remedy))
     }
 
     /// Returns the outcome of a query without an acceptable answer.
-    fn refusal(&self) -> Outcome {
+    pub(crate) fn refusal(&self, reason: Reason) -> Outcome {
         if self.begun {
             let remedy = "too little was searched in time; a query may be sent again safely";
-            Outcome::Unknown {
-                remedy: SmolStr::new(remedy),
-            }
-        } else {
-            refuse(Reason::Late, "no leaf began in time; allow more time")
+            let remedy = SmolStr::new_static(remedy);
+            return Outcome::Unknown { remedy };
+        }
+        let remedy = match reason {
+            Reason::Overload => "a dispatcher refused it for its long queue; send it again later",
+            Reason::Unreachable => "no dispatcher reached a leaf; check hosts and leafs",
+            _ => "no leaf began in time; allow more time",
+        };
+        refuse(reason, remedy)
+    }
+
+    /// Returns the claim of `attempt`, and remembers a catalog that leafs contradict.
+    pub(crate) fn claim(&self, cover: &crate::cover::Cover, pin: &Pin) -> Claim {
+        let collection = &self.query.search.collection;
+        let trusted = pin.listed && self.shared.trusted(collection, pin.snapshot);
+        let claim = claim(cover, &pin.parts, trusted);
+        if claim.doubted && pin.listed {
+            self.shared.doubt(collection, pin.snapshot);
         }
+        claim
     }
 }
 
-/// Adds `range` of `service` to `asks`, joined with an ask of the same leafs.
-fn add(asks: &mut Vec<Ask>, service: u16, range: Range, leafs: &[leaf::Name]) {
-    let same = |a: &&mut Ask| a.service == service && a.leafs == leafs;
-    match asks.iter_mut().find(same) {
-        Some(ask) => ask.ranges.push(range),
-        None => asks.push(Ask {
-            service,
-            ranges: vec![range],
-            leafs: leafs.to_vec(),
-        }),
+/// Carries out the steps of `attempt` until it ends; open calls are cancelled then.
+async fn drive<P: Peers, Y: Policy>(attempt: &mut Attempt<'_, '_, P, Y>) -> End {
+    let peers = &attempt.run.shared.peers;
+    let deadline = attempt.run.deadline;
+    let mut calls = FuturesUnordered::new();
+    loop {
+        let steps = attempt.steps.drain(..);
+        calls.extend(steps.map(|step| perform(peers, step, deadline)));
+        if let Some(end) = attempt.end(calls.is_empty()) {
+            return end;
+        }
+        match timeout_at(attempt.wake(), calls.next()).await {
+            Ok(Some(event)) => attempt.handle(event),
+            Ok(None) => {}
+            Err(_) => attempt.tick(),
+        }
+    }
+}
+
+/// Carries out one step.
+async fn perform<P: Peers>(peers: &P, step: Step, deadline: Instant) -> Event {
+    match step {
+        Step::Send(host, message) => {
+            let id = message.id;
+            let time = deadline.saturating_duration_since(Instant::now());
+            Event::Reply(id, peers.subquery(&host, message, time).await)
+        }
+        Step::Wait(until, items) => {
+            sleep_until(until).await;
+            Event::Again(items)
+        }
     }
 }
--- a/crates/gather/src/settings.rs
+++ b/crates/gather/src/settings.rs
@@ -9,8 +9,26 @@
     pub in_hand: [usize; 3],
     /// The most rows held for one query; parts beyond it are reported missing.
     pub rows: usize,
-    /// Time kept back at each hop for the way back.
+    /// Time kept back for the way to a dispatcher and back.
     pub hop_margin: Duration,
+    /// The least time left at which missing ranges are asked again.
+    pub least_time: Duration,
+    /// Time without a reply after which a dispatcher that answers nobody is passed over.
+    pub patience: Duration,
+    /// The longest random delay before a retry.
+    pub jitter: Duration,
+    /// The delay before moved data is asked for again; it doubles each time.
+    pub move_delay: Duration,
+    /// Retries allowed per sub-query that succeeded.
+    pub retry_share: f64,
+    /// The most retries that can be saved up; also what a new process starts with.
+    pub retry_burst: f64,
+    /// The share of the time left from which on expected waits are refused at random.
+    pub soft_wait: f64,
+    /// The share of the time left from which on expected waits are always refused.
+    pub hard_wait: f64,
+    /// The time between queries that are admitted in spite of the expected wait, per rank.
+    pub probe: Duration,
 }
 
 impl Default for Settings {
@@ -20,7 +38,18 @@
             in_hand: [512, 256, 128],
             rows: 100_000,
             // One way between failure domains takes about 1.5 ms.
-            hop_margin: Duration::from_millis(2),
+            hop_margin: Duration::from_millis(4),
+            // Two ways between failure domains and a short search.
+            least_time: Duration::from_millis(5),
+            patience: Duration::from_millis(30),
+            jitter: Duration::from_millis(2),
+            move_delay: Duration::from_millis(5),
+            retry_share: 0.1,
+            retry_burst: 20.0,
+            soft_wait: 0.5,
+            // The rest is for the search itself and both ways.
+            hard_wait: 0.8,
+            probe: Duration::from_millis(100),
         }
     }
 }
