Claim keys in the log before an order is sent

Cause: orders that are repeated at any host must run at most once. Change: crate order with keys, tickets, the claim log, group commit, checkpoints, and the send to one dispatcher.

--- /dev/null
+++ b/crates/order/src/ledger.rs
@@ -0,0 +1,172 @@
+//! The orders that this process has in hand or had.
+
+use std::{collections::VecDeque, time::Duration};
+
+use rattanmast_model::{hash::Map, outcome::Outcome};
+use tokio::{sync::watch, time::Instant};
+
+use crate::{key::Identity, refusal};
+
+/// What an order ends with; `None` while it is in hand.
+pub type Ending = watch::Receiver<Option<Outcome>>;
+
+/// An order that was, or may have been, sent.
+#[derive(Clone, Debug)]
+struct Sent {
+    nonce: u64,
+    outcome: Outcome,
+}
+
+#[derive(Debug)]
+struct Hand {
+    digest: u64,
+    active: Option<Ending>,
+    sent: Option<Sent>,
+    expiry: Instant,
+}
+
+/// What a request with a key finds.
+#[derive(Debug)]
+pub enum Entered {
+    /// The key is free: the request works on it and sends the outcome here.
+    Start(watch::Sender<Option<Outcome>>, Ending),
+    /// Another request works on it.
+    Join(Ending),
+    /// It has ended.
+    Settled(Outcome),
+    /// The key was used for another order.
+    Differs,
+    /// No room.
+    Full,
+}
+
+/// Remembers the orders of this process for the window.
+#[derive(Debug)]
+pub struct Ledger {
+    hands: Map<Identity, Hand>,
+    expiries: VecDeque<(Instant, Identity)>,
+    keep: Duration,
+    limit: usize,
+}
+
+impl Ledger {
+    /// Returns an empty ledger that remembers `limit` orders for `keep` after their last use.
+    pub fn new(keep: Duration, limit: usize) -> Self {
+        Self {
+            hands: Map::default(),
+            expiries: VecDeque::new(),
+            keep,
+            limit,
+        }
+    }
+
+    /// Enters a request.
+    pub fn enter(&mut self, id: Identity, digest: u64) -> Entered {
+        self.expire();
+        let expiry = Instant::now() + self.keep;
+        let room = self.hands.len() < self.limit;
+        let hand = match self.hands.get_mut(&id) {
+            Some(hand) => hand,
+            None if !room => return Entered::Full,
+            None => {
+                self.expiries.push_back((expiry, id));
+                self.hands.entry(id).or_insert(Hand {
+                    digest,
+                    active: None,
+                    sent: None,
+                    expiry,
+                })
+            }
+        };
+        if hand.digest != digest {
+            return Entered::Differs;
+        }
+        hand.expiry = expiry;
+        match (&hand.active, &hand.sent) {
+            (Some(ending), _) => Entered::Join(ending.clone()),
+            (None, Some(sent)) if !matches!(sent.outcome, Outcome::NotRun { .. }) => {
+                Entered::Settled(sent.outcome.clone())
+            }
+            _ => {
+                let (sender, ending) = watch::channel(None);
+                hand.active = Some(ending.clone());
+                Entered::Start(sender, ending)
+            }
+        }
+    }
+
+    /// Notes that the order is about to be sent under the claim `nonce`.
+    pub fn sending(&mut self, id: Identity, nonce: u64) {
+        if let Some(hand) = self.hands.get_mut(&id) {
+            let outcome = refusal::in_progress();
+            hand.sent = Some(Sent { nonce, outcome });
+        }
+    }
+
+    /// Notes what became of the order that was sent.
+    pub fn sent(&mut self, id: Identity, outcome: &Outcome) {
+        if let Some(sent) = self.hands.get_mut(&id).and_then(|h| h.sent.as_mut()) {
+            sent.outcome = outcome.clone();
+        }
+    }
+
+    /// Tells whether the order did not run under the claim `nonce` of this process.
+    ///
+    /// Asked by the request that works on the key; no other one can send it.
+    pub fn void(&self, id: Identity, nonce: u64) -> bool {
+        let hand = self.hands.get(&id);
+        let not_run = |s: &Sent| s.nonce != nonce || matches!(s.outcome, Outcome::NotRun { .. });
+        hand.is_some_and(|h| h.sent.as_ref().is_none_or(not_run))
+    }
+
+    /// Ends the work on the key.
+    pub fn leave(&mut self, id: Identity) {
+        if let Some(hand) = self.hands.get_mut(&id) {
+            hand.active = None;
+        }
+    }
+
+    /// Returns what is known of the key; not run if it was not sent by this process.
+    pub fn outcome(&self, id: Identity) -> Option<Outcome> {
+        let hand = self.hands.get(&id)?;
+        let not_sent = || {
+            refusal::not_run(
+                rattanmast_model::outcome::Reason::Refused,
+                "the order was not run; send it again with the same key",
+            )
+        };
+        match (&hand.active, &hand.sent) {
+            (_, Some(sent)) if !matches!(sent.outcome, Outcome::NotRun { .. }) => {
+                Some(sent.outcome.clone())
+            }
+            (Some(_), _) => Some(refusal::in_progress()),
+            (None, Some(sent)) => Some(sent.outcome.clone()),
+            (None, None) => Some(not_sent()),
+        }
+    }
+
+    /// Returns the number of orders remembered, and of those in hand.
+    pub fn sizes(&self) -> (usize, usize) {
+        let active = self.hands.values().filter(|h| h.active.is_some()).count();
+        (self.hands.len(), active)
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        while let Some((due, id)) = self.expiries.front().copied() {
+            if due > now {
+                return;
+            }
+            self.expiries.pop_front();
+            match self.hands.get(&id) {
+                Some(hand) if hand.active.is_some() => {
+                    self.expiries.push_back((now + self.keep, id));
+                }
+                Some(hand) if hand.expiry > now => self.expiries.push_back((hand.expiry, id)),
+                _ => {
+                    self.hands.remove(&id);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/order/src/refusal.rs
@@ -0,0 +1,122 @@
+//! Refusals and their remedies.
+
+use rattanmast_model::outcome::{Outcome, Reason};
+
+/// Returns that the request was not run.
+pub fn not_run(reason: Reason, remedy: &str) -> Outcome {
+    Outcome::NotRun {
+        reason,
+        remedy: remedy.into(),
+    }
+}
+
+/// Returns that the order may have run.
+pub fn unknown(remedy: &str) -> Outcome {
+    Outcome::Unknown {
+        remedy: remedy.into(),
+    }
+}
+
+/// Returns the outcome of a repeated request for an order that ended as `outcome`.
+pub fn repeated(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Done { result } => Outcome::AlreadyDone {
+            result: Some(result),
+        },
+        other => other,
+    }
+}
+
+/// The platform does not answer.
+pub fn store() -> Outcome {
+    not_run(
+        Reason::Store,
+        "the order was not run because the platform's store does not answer; send it again with \
+         the same key, or get a ticket from POST /v1/tickets, which needs no store",
+    )
+}
+
+/// The time left is too short.
+pub fn late() -> Outcome {
+    not_run(
+        Reason::Late,
+        "the time left was too short; send it again with the same key and a longer timeout_ms",
+    )
+}
+
+/// The process is stopping.
+pub fn stopping() -> Outcome {
+    not_run(
+        Reason::Stopping,
+        "the host is stopping; send it again with the same key to another host",
+    )
+}
+
+/// The configuration may be out of date.
+pub fn stale() -> Outcome {
+    not_run(
+        Reason::Stale,
+        "the host cannot prove that its configuration is in force; send it again with the same \
+         key to another host",
+    )
+}
+
+/// The remedy of [`restarted`].
+pub const RESTARTED: &str =
+    "the host that the order was forwarded to has restarted; send it again with the same key";
+
+/// The message names another process run.
+pub fn restarted() -> Outcome {
+    not_run(Reason::Unreachable, RESTARTED)
+}
+
+/// The process that issued the ticket has stopped.
+pub fn issuer_gone() -> Outcome {
+    unknown(
+        "the process that issued the ticket is gone, and only it knew whether the order ran; \
+         look at the record at the leaf before the order is sent again",
+    )
+}
+
+/// The content differs from that of an earlier request with the key.
+pub fn differs() -> Outcome {
+    not_run(
+        Reason::Key,
+        "another order was sent with this key; use a new key for each order",
+    )
+}
+
+/// The table of keys is full.
+pub fn full() -> Outcome {
+    not_run(
+        Reason::Overload,
+        "too many orders in the last minutes; send it again later with a new key",
+    )
+}
+
+/// It is in progress and may run.
+pub fn in_progress() -> Outcome {
+    unknown("the order is in progress; ask GET /v1/orders/<key> for its outcome")
+}
+
+/// The message arrived before.
+pub fn duplicate() -> Outcome {
+    unknown("the message arrived twice; ask GET /v1/orders/<key> for the outcome")
+}
+
+/// The process that could tell is gone.
+pub fn holder_gone() -> Outcome {
+    unknown(
+        "the process that claimed the order stopped before it recorded an outcome; look at the \
+         record at the leaf before the order is sent again with a new key",
+    )
+}
+
+/// The ticket was not issued by this process to the caller, or has expired.
+pub fn bad_ticket() -> Outcome {
+    not_run(
+        Reason::Key,
+        "the ticket has expired or was not issued to this caller; get a new one from POST \
+         /v1/tickets",
+    )
+}
--- /dev/null
+++ b/crates/order/src/stats.rs
@@ -0,0 +1,85 @@
+//! Counters for metrics.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use rattanmast_model::outcome::Outcome;
+
+/// Counts since the process started, and sizes now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Orders that ended as done.
+    pub done: u64,
+    /// Orders that ended as not run.
+    pub not_run: u64,
+    /// Orders that ended as unknown.
+    pub unknown: u64,
+    /// Repeated orders that had been done.
+    pub already_done: u64,
+    /// Keys that were claimed.
+    pub claimed: u64,
+    /// Writes to the platform: batches, checkpoints and heads.
+    pub writes: u64,
+    /// Deletions in the platform.
+    pub deletes: u64,
+    /// Reads from the platform.
+    pub reads: u64,
+    /// Batches lost to another claimer.
+    pub conflicts: u64,
+    /// Creates whose answer was lost.
+    pub lost: u64,
+    /// Keys in memory, this process's own orders included.
+    pub keys: u64,
+    /// Orders in hand.
+    pub in_hand: u64,
+}
+
+/// The counters behind [`Stats`].
+#[derive(Debug, Default)]
+pub struct Counters {
+    pub done: AtomicU64,
+    pub not_run: AtomicU64,
+    pub unknown: AtomicU64,
+    pub already_done: AtomicU64,
+    pub claimed: AtomicU64,
+    pub writes: AtomicU64,
+    pub deletes: AtomicU64,
+    pub reads: AtomicU64,
+    pub conflicts: AtomicU64,
+    pub lost: AtomicU64,
+}
+
+impl Counters {
+    /// Adds one to `counter`.
+    pub fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts an outcome.
+    pub fn count(&self, outcome: &Outcome) {
+        Self::add(match outcome {
+            Outcome::Done { .. } => &self.done,
+            Outcome::NotRun { .. } => &self.not_run,
+            Outcome::Unknown { .. } => &self.unknown,
+            Outcome::AlreadyDone { .. } => &self.already_done,
+        });
+    }
+
+    /// Returns the counts.
+    pub fn read(&self) -> Stats {
+        let get = |c: &AtomicU64| c.load(Ordering::Relaxed);
+        Stats {
+            done: get(&self.done),
+            not_run: get(&self.not_run),
+            unknown: get(&self.unknown),
+            already_done: get(&self.already_done),
+            claimed: get(&self.claimed),
+            writes: get(&self.writes),
+            deletes: get(&self.deletes),
+            reads: get(&self.reads),
+            conflicts: get(&self.conflicts),
+            lost: get(&self.lost),
+            keys: 0,
+            in_hand: 0,
+        }
+    }
+}
