--- a/crates/order/src/log.rs
+++ b/crates/order/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures::{StreamExt, stream};
+use futures::future::join_all;
 use rattanmast_model::{
     hash::Set,
     store::{self, Store, Version},
@@ -189,14 +189,16 @@
         };
         let mut table = Table::default();
         table.raise(head.low);
-        let segments = head.segments.iter();
-        let mut segments =
-            stream::iter(segments.map(|s| self.get::<Batch>(&s.name))).buffered(PARALLEL);
-        while let Some(segment) = segments.next().await {
-            let (batch, _) = segment?.context(ChangedSnafu)?;
-            table.apply(&batch);
+        for chunk in head.segments.chunks(PARALLEL) {
+            let mut reads = Vec::with_capacity(chunk.len());
+            for segment in chunk {
+                reads.push(self.get::<Batch>(&segment.name));
+            }
+            for part in join_all(reads).await {
+                let (batch, _) = part?.context(ChangedSnafu)?;
+                table.apply(&batch);
+            }
         }
-        drop(segments);
         let mut log = Log {
             next: head.sequence + 1,
             head,
