Add the node, intents, plans and confirming

Cause: the host and the command line need the interface of the state crate. Change: node with propagation, proof, membership and watches; intents in TOML; plans bound to version and digest; confirm by conditional update. Conclusion: the interface can be built against; tests and measurements follow.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalog;
 pub mod config;
+pub mod exchange;
 pub mod hash;
 pub mod host;
 pub mod leaf;
--- /dev/null
+++ b/crates/state/src/change.rs
@@ -0,0 +1,249 @@
+//! The difference between two configurations, for operators.
+
+use std::fmt;
+
+use rattanmast_model::config::{Caller, Config};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+
+/// Digits of a key's hash that are shown.
+const HASH_SHOWN: usize = 8;
+
+/// What happens to an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Action {
+    /// It is new.
+    Add,
+    /// It goes.
+    Remove,
+    /// Some of its fields change.
+    Alter,
+}
+
+/// What kind of entry changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A host of the roster.
+    Host,
+    /// A collection.
+    Collection,
+    /// A search.
+    Search,
+    /// A caller.
+    Caller,
+    /// The floors.
+    Floors,
+}
+
+/// A field of an entry before and after.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Field {
+    /// The field's name.
+    pub name: SmolStr,
+    /// The old value.
+    pub old: Option<String>,
+    /// The new value.
+    pub new: Option<String>,
+}
+
+/// A changed entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// What happens to it.
+    pub action: Action,
+    /// What it is.
+    pub kind: Kind,
+    /// Its name.
+    pub name: SmolStr,
+    /// The fields that change; of a new or removed entry, all.
+    pub fields: Vec<Field>,
+    /// The callers that it concerns; empty if it concerns all.
+    pub whom: Vec<SmolStr>,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Host => "host",
+            Self::Collection => "collection",
+            Self::Search => "search",
+            Self::Caller => "caller",
+            Self::Floors => "floors",
+        })
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.action {
+            Action::Add => '+',
+            Action::Remove => '-',
+            Action::Alter => '~',
+        };
+        write!(f, "{sign} {} {}", self.kind, self.name)?;
+        for field in &self.fields {
+            match (&field.old, &field.new) {
+                (Some(old), Some(new)) => write!(f, " {}: {old} -> {new};", field.name)?,
+                (None, Some(new)) => write!(f, " {}: {new};", field.name)?,
+                (Some(old), None) => write!(f, " {}: was {old};", field.name)?,
+                (None, None) => {}
+            }
+        }
+        match self.whom.as_slice() {
+            [] => f.write_str(" (for all callers)"),
+            whom => write!(f, " (for {})", whom.join(", ")),
+        }
+    }
+}
+
+/// Returns what differs between `old` and `new`, whatever the order of their entries.
+pub fn between(old: &Config, new: &Config) -> Vec<Change> {
+    let mut changes = Vec::new();
+    compare(&mut changes, Kind::Host, &old.hosts, &new.hosts, |h| {
+        &h.name
+    });
+    compare(
+        &mut changes,
+        Kind::Collection,
+        &old.collections,
+        &new.collections,
+        |c| &c.name,
+    );
+    compare(
+        &mut changes,
+        Kind::Search,
+        &old.searches,
+        &new.searches,
+        |s| &s.name,
+    );
+    compare(
+        &mut changes,
+        Kind::Caller,
+        &old.callers,
+        &new.callers,
+        |c| &c.name,
+    );
+    let name = SmolStr::new_static("floors");
+    let (o, n) = ((&name, &old.floors), (&name, &new.floors));
+    compare(&mut changes, Kind::Floors, &[o], &[n], |f| f.0);
+    for change in &mut changes {
+        change.whom = whom(change, old, new);
+    }
+    changes
+}
+
+fn compare<T: Serialize>(
+    changes: &mut Vec<Change>,
+    kind: Kind,
+    old: &[T],
+    new: &[T],
+    name: impl Fn(&T) -> &SmolStr,
+) {
+    let index = |list: &[T]| -> std::collections::BTreeMap<SmolStr, Map<String, Value>> {
+        list.iter().map(|e| (name(e).clone(), fields(e))).collect()
+    };
+    let (old, new) = (index(old), index(new));
+    let empty = Map::new();
+    let mut push = |action, name: &SmolStr, old: &Map<_, _>, new: &Map<_, _>| {
+        let fields = differing(old, new);
+        if !fields.is_empty() {
+            changes.push(Change {
+                action,
+                kind,
+                name: name.clone(),
+                fields,
+                whom: Vec::new(),
+            });
+        }
+    };
+    for (name, fields) in &old {
+        match new.get(name) {
+            Some(after) => push(Action::Alter, name, fields, after),
+            None => push(Action::Remove, name, fields, &empty),
+        }
+    }
+    for (name, fields) in new.iter().filter(|(n, _)| !old.contains_key(*n)) {
+        push(Action::Add, name, &empty, fields);
+    }
+}
+
+/// Returns the fields of `entry`, nested ones included, without its name.
+fn fields<T: Serialize>(entry: &T) -> Map<String, Value> {
+    let mut flat = Map::new();
+    // Entries hold text, numbers and lists only, so they always serialize.
+    flatten(
+        serde_json::to_value(entry).unwrap_or_default(),
+        "",
+        &mut flat,
+    );
+    flat.remove("name");
+    flat
+}
+
+fn flatten(value: Value, key: &str, flat: &mut Map<String, Value>) {
+    match value {
+        Value::Object(map) => map.into_iter().for_each(|(k, v)| flatten(v, &k, flat)),
+        // The floors, as a pair of a name and their fields.
+        Value::Array(list) if key.is_empty() => {
+            list.into_iter().for_each(|v| flatten(v, "", flat));
+        }
+        Value::String(_) if key.is_empty() => {}
+        other => {
+            flat.insert(key.to_owned(), other);
+        }
+    }
+}
+
+fn differing(old: &Map<String, Value>, new: &Map<String, Value>) -> Vec<Field> {
+    let mut names: Vec<&String> = old.keys().chain(new.keys()).collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+        .into_iter()
+        .filter(|name| old.get(*name) != new.get(*name))
+        .map(|name| Field {
+            name: SmolStr::new(name),
+            old: old.get(name).map(|v| shown(name, v)),
+            new: new.get(name).map(|v| shown(name, v)),
+        })
+        .collect()
+}
+
+fn shown(name: &str, value: &Value) -> String {
+    match value {
+        Value::String(hash) if name == "key_sha256" => hash.chars().take(HASH_SHOWN).collect(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Returns the callers that `change` concerns under either configuration.
+fn whom(change: &Change, old: &Config, new: &Config) -> Vec<SmolStr> {
+    let reaches = |config: &Config, caller: &Caller| match change.kind {
+        Kind::Caller => caller.name == change.name,
+        Kind::Search => caller.searches.contains(&change.name),
+        Kind::Collection => {
+            let searched = |s: &SmolStr| {
+                config
+                    .search(s)
+                    .is_some_and(|s| s.collection == change.name)
+            };
+            caller.orders.contains(&change.name) || caller.searches.iter().any(searched)
+        }
+        Kind::Host | Kind::Floors => false,
+    };
+    let mut names: Vec<SmolStr> = [old, new]
+        .into_iter()
+        .flat_map(|config| config.callers.iter().filter(move |c| reaches(config, c)))
+        .map(|c| c.name.clone())
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    if names.is_empty() && !matches!(change.kind, Kind::Host | Kind::Floors) {
+        names.push(SmolStr::new_static("no caller"));
+    }
+    names
+}
--- /dev/null
+++ b/crates/state/src/delta.rs
@@ -0,0 +1,90 @@
+//! Differences between two versions of an object's bytes.
+//!
+//! Objects are JSON lists of which a change touches few entries. Bytes are compared in chunks
+//! that end at `}`, which is where entries end, so no knowledge of the object's type is needed.
+
+use rattanmast_model::{exchange::Piece, hash::Map, store::VALUE_LIMIT};
+
+/// Bytes that a piece takes in a message besides its own, at most.
+const PIECE_COST: usize = 10;
+
+/// Returns the pieces that make `new` from `old`.
+pub fn between(old: &[u8], new: &[u8]) -> Vec<Piece> {
+    let old_chunks: Vec<(usize, &[u8])> = chunks(old).collect();
+    let mut index: Map<&[u8], usize> = Map::default();
+    for (i, (_, chunk)) in old_chunks.iter().enumerate() {
+        index.entry(chunk).or_insert(i);
+    }
+    let mut pieces = Vec::new();
+    let mut next = 0;
+    for (_, chunk) in chunks(new) {
+        let follows = old_chunks.get(next).is_some_and(|(_, c)| *c == chunk);
+        let found = if follows {
+            Some(next)
+        } else {
+            index.get(chunk).copied()
+        };
+        match found {
+            Some(i) => {
+                copy(&mut pieces, old_chunks[i].0, chunk.len());
+                next = i + 1;
+            }
+            None => insert(&mut pieces, chunk),
+        }
+    }
+    pieces
+}
+
+/// Returns what `pieces` make from `old`; `None` if they do not fit it or make too much.
+pub fn apply(old: &[u8], pieces: &[Piece]) -> Option<Vec<u8>> {
+    let mut new = Vec::with_capacity(old.len());
+    for piece in pieces {
+        let bytes = match piece {
+            Piece::Copy(start, len) => {
+                let start = usize::try_from(*start).ok()?;
+                let end = start.checked_add(usize::try_from(*len).ok()?)?;
+                old.get(start..end)?
+            }
+            Piece::Insert(bytes) => bytes,
+        };
+        if new.len() + bytes.len() > VALUE_LIMIT {
+            return None;
+        }
+        new.extend_from_slice(bytes);
+    }
+    Some(new)
+}
+
+/// Returns the bytes that `pieces` take in a message, at most.
+pub fn cost(pieces: &[Piece]) -> usize {
+    let bytes = |p: &Piece| match p {
+        Piece::Copy(..) => 0,
+        Piece::Insert(bytes) => bytes.len(),
+    };
+    pieces.iter().map(|p| PIECE_COST + bytes(p)).sum()
+}
+
+fn chunks(bytes: &[u8]) -> impl Iterator<Item = (usize, &[u8])> {
+    let mut start = 0;
+    bytes.split_inclusive(|b| *b == b'}').map(move |chunk| {
+        let at = start;
+        start += chunk.len();
+        (at, chunk)
+    })
+}
+
+fn copy(pieces: &mut Vec<Piece>, start: usize, len: usize) {
+    // Values are at most 1 MB, so offsets fit.
+    let (start, len) = (start as u32, len as u32);
+    match pieces.last_mut() {
+        Some(Piece::Copy(s, l)) if *s + *l == start => *l += len,
+        _ => pieces.push(Piece::Copy(start, len)),
+    }
+}
+
+fn insert(pieces: &mut Vec<Piece>, bytes: &[u8]) {
+    match pieces.last_mut() {
+        Some(Piece::Insert(last)) => last.extend_from_slice(bytes),
+        _ => pieces.push(Piece::Insert(bytes.to_vec())),
+    }
+}
--- /dev/null
+++ b/crates/state/src/intent.rs
@@ -0,0 +1,406 @@
+//! Intents: TOML files in which operators declare what they want.
+
+use std::{fmt, net::SocketAddr};
+
+use rattanmast_model::{config, hash::Set, host, leaf, rank::Rank};
+use serde::{Deserialize, de::IgnoredAny};
+use smol_str::SmolStr;
+use snafu::Snafu;
+use toml::Spanned;
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A whole configuration as an operator wants it, without a version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Intent {
+    /// The roster.
+    pub hosts: Vec<host::Host>,
+    /// The collections.
+    pub collections: Vec<config::Collection>,
+    /// The searches.
+    pub searches: Vec<config::Search>,
+    /// The callers.
+    pub callers: Vec<config::Caller>,
+    /// The floors.
+    pub floors: config::Floors,
+}
+
+/// Why an intent was refused, and where.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{file}:{line}: {fault}"))]
+pub struct Error {
+    /// The file as the operator named it.
+    pub file: String,
+    /// The line, from 1.
+    pub line: usize,
+    /// What is wrong.
+    pub fault: Fault,
+}
+
+/// What is wrong with an intent, and the remedy.
+///
+/// No variant carries a value that could be a caller's key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The file is not TOML, or has an unknown or missing field.
+    Syntax(String),
+    /// A caller's key is given in plain text.
+    Plain(SmolStr),
+    /// A hash is not 64 lower-case hexadecimal digits.
+    Hash(SmolStr),
+    /// A name is empty, too long or has other characters than `a-z`, `0-9` and `-`.
+    Name(&'static str),
+    /// A name is used twice.
+    Twice(&'static str, SmolStr),
+    /// Something refers to what is not declared.
+    Absent(&'static str, SmolStr),
+    /// A number is out of its bounds.
+    Bounds(&'static str, &'static str),
+    /// An address has port 0 or is used twice.
+    Address(SocketAddr),
+    /// Two callers have the same key.
+    Shared(SmolStr),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Syntax(message) => {
+                write!(f, "{message}; see docs/operators/intents.md for the fields")
+            }
+            Self::Plain(caller) => write!(
+                f,
+                "caller {caller} has a plain key, which is never stored; replace `key` by \
+                 `key_sha256` with the output of `printf %s \"$KEY\" | sha256sum`"
+            ),
+            Self::Hash(caller) => write!(
+                f,
+                "key_sha256 of caller {caller} is not 64 lower-case hexadecimal digits; use the \
+                 output of `printf %s \"$KEY\" | sha256sum`"
+            ),
+            Self::Name(kind) => write!(
+                f,
+                "name of this {kind} is not 1 to 63 characters of a-z, 0-9 and -; rename it"
+            ),
+            Self::Twice(kind, name) => {
+                write!(f, "{kind} {name} is declared twice; remove or rename one")
+            }
+            Self::Absent(kind, name) => {
+                write!(
+                    f,
+                    "{kind} {name} is not declared; declare it or remove the reference"
+                )
+            }
+            Self::Bounds(field, bounds) => {
+                write!(f, "{field} is out of bounds; choose a value {bounds}")
+            }
+            Self::Address(addr) => {
+                write!(
+                    f,
+                    "address {addr} has port 0 or is used twice; choose another port"
+                )
+            }
+            Self::Shared(caller) => write!(
+                f,
+                "caller {caller} has the same key as another one; give each caller its own key"
+            ),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    floors: Option<Spanned<Floors>>,
+    #[serde(default, rename = "host")]
+    hosts: Vec<Spanned<Host>>,
+    #[serde(default, rename = "collection")]
+    collections: Vec<Spanned<Collection>>,
+    #[serde(default, rename = "search")]
+    searches: Vec<Spanned<Search>>,
+    #[serde(default, rename = "caller")]
+    callers: Vec<Spanned<Caller>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Floors {
+    urgent: f64,
+    routine: f64,
+    intake: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Host {
+    name: Spanned<SmolStr>,
+    domain: Spanned<SmolStr>,
+    http: Spanned<SocketAddr>,
+    hop: Spanned<SocketAddr>,
+    exchange: Spanned<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Collection {
+    name: Spanned<SmolStr>,
+    services: Spanned<u16>,
+    leafs: Spanned<u16>,
+    slots: Spanned<u32>,
+    connections: Spanned<u32>,
+    open_ms: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Search {
+    name: Spanned<SmolStr>,
+    collection: Spanned<SmolStr>,
+    #[serde(default)]
+    priority: config::Priority,
+    least_coverage: Spanned<f64>,
+    longest_wait_ms: Spanned<u32>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Caller {
+    name: Spanned<SmolStr>,
+    key: Option<Spanned<IgnoredAny>>,
+    key_sha256: Option<Spanned<Hash>>,
+    rank: Rank,
+    #[serde(default)]
+    searches: Vec<Spanned<SmolStr>>,
+    #[serde(default)]
+    orders: Vec<Spanned<SmolStr>>,
+}
+
+/// Accepts any value, so that no error message of the parser repeats what may be a key.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Hash {
+    Text(SmolStr),
+    Other(IgnoredAny),
+}
+
+/// Reads an intent from `text`; `file` is named in errors.
+///
+/// # Errors
+///
+/// If the text is not an intent, refers to what it does not declare, or holds a plain key.
+pub fn parse(file: &str, text: &str) -> Result<Intent> {
+    let reader = Reader { file, text };
+    let parsed: File = toml::from_str(text).map_err(|e| {
+        let at = e.span().map_or(0, |s| s.start);
+        reader.error(at, Fault::Syntax(e.message().replace('\n', " ")))
+    })?;
+    let hosts = reader.hosts(parsed.hosts)?;
+    let collections = reader.collections(parsed.collections)?;
+    let searches = reader.searches(parsed.searches, &collections)?;
+    let callers = reader.callers(parsed.callers, &searches, &collections)?;
+    let floors = parsed.floors.map(|f| reader.floors(f)).transpose()?;
+    Ok(Intent {
+        hosts,
+        collections,
+        searches,
+        callers,
+        floors: floors.unwrap_or_default(),
+    })
+}
+
+struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+}
+
+impl Reader<'_> {
+    fn error(&self, at: usize, fault: Fault) -> Error {
+        let before = &self.text.as_bytes()[..at.min(self.text.len())];
+        Error {
+            file: self.file.to_owned(),
+            line: 1 + before.iter().filter(|b| **b == b'\n').count(),
+            fault,
+        }
+    }
+
+    /// Returns the value if `holds`, else an error at its place.
+    fn check<T>(&self, value: Spanned<T>, holds: bool, fault: impl FnOnce() -> Fault) -> Result<T> {
+        if holds {
+            return Ok(value.into_inner());
+        }
+        Err(self.error(value.span().start, fault()))
+    }
+
+    fn name(&self, kind: &'static str, name: Spanned<SmolStr>) -> Result<SmolStr> {
+        let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+        let good = (1..=63).contains(&name.get_ref().len()) && name.get_ref().bytes().all(plain);
+        self.check(name, good, || Fault::Name(kind))
+    }
+
+    fn unique(
+        &self,
+        kind: &'static str,
+        name: Spanned<SmolStr>,
+        seen: &mut Set<SmolStr>,
+    ) -> Result<SmolStr> {
+        let at = name.span().start;
+        let name = self.name(kind, name)?;
+        if seen.insert(name.clone()) {
+            return Ok(name);
+        }
+        Err(self.error(at, Fault::Twice(kind, name)))
+    }
+
+    fn positive<T: Copy + Default + PartialOrd>(
+        &self,
+        field: &'static str,
+        value: Spanned<T>,
+    ) -> Result<T> {
+        let good = *value.get_ref() > T::default();
+        self.check(value, good, || Fault::Bounds(field, "of at least 1"))
+    }
+
+    /// Returns `names` if each of them is in `declared` and none is repeated.
+    fn references(
+        &self,
+        kind: &'static str,
+        names: Vec<Spanned<SmolStr>>,
+        declared: &Set<SmolStr>,
+    ) -> Result<Vec<SmolStr>> {
+        let mut seen = Set::default();
+        let mut list = Vec::with_capacity(names.len());
+        for name in names {
+            let value = name.get_ref().clone();
+            let known = declared.contains(&value);
+            let name = self.check(name, known, || Fault::Absent(kind, value))?;
+            if seen.insert(name.clone()) {
+                list.push(name);
+            }
+        }
+        Ok(list)
+    }
+
+    fn hosts(&self, hosts: Vec<Spanned<Host>>) -> Result<Vec<host::Host>> {
+        let (mut names, mut addrs) = (Set::default(), Set::default());
+        let mut address = |addr: Spanned<SocketAddr>| {
+            let value = *addr.get_ref();
+            let good = value.port() != 0 && addrs.insert(value);
+            self.check(addr, good, || Fault::Address(value))
+        };
+        let mut list = Vec::with_capacity(hosts.len());
+        for host in hosts {
+            let host = host.into_inner();
+            list.push(host::Host {
+                name: self.unique("host", host.name, &mut names)?,
+                domain: self.name("failure domain", host.domain)?,
+                http: address(host.http)?,
+                hop: address(host.hop)?,
+                exchange: address(host.exchange)?,
+            });
+        }
+        Ok(list)
+    }
+
+    fn collections(&self, list: Vec<Spanned<Collection>>) -> Result<Vec<config::Collection>> {
+        let mut names = Set::default();
+        list.into_iter()
+            .map(|c| {
+                let c = c.into_inner();
+                Ok(config::Collection {
+                    name: self.unique("collection", c.name, &mut names)?,
+                    services: self.positive("services", c.services)?,
+                    leafs: self.positive("leafs", c.leafs)?,
+                    limits: leaf::Limits {
+                        slots: self.positive("slots", c.slots)?,
+                        connections: self.positive("connections", c.connections)?,
+                        open_ms: c.open_ms,
+                    },
+                })
+            })
+            .collect()
+    }
+
+    fn searches(
+        &self,
+        list: Vec<Spanned<Search>>,
+        collections: &[config::Collection],
+    ) -> Result<Vec<config::Search>> {
+        let mut names = Set::default();
+        list.into_iter()
+            .map(|s| {
+                let s = s.into_inner();
+                let target = s.collection.get_ref().clone();
+                let known = collections.iter().any(|c| c.name == target);
+                let share = (0.0..=1.0).contains(s.least_coverage.get_ref());
+                Ok(config::Search {
+                    name: self.unique("search", s.name, &mut names)?,
+                    collection: self
+                        .check(s.collection, known, || Fault::Absent("collection", target))?,
+                    priority: s.priority,
+                    least_coverage: self.check(s.least_coverage, share, || {
+                        Fault::Bounds("least_coverage", "from 0.0 to 1.0")
+                    })?,
+                    longest_wait_ms: self.positive("longest_wait_ms", s.longest_wait_ms)?,
+                })
+            })
+            .collect()
+    }
+
+    fn callers(
+        &self,
+        list: Vec<Spanned<Caller>>,
+        searches: &[config::Search],
+        collections: &[config::Collection],
+    ) -> Result<Vec<config::Caller>> {
+        let searches: Set<SmolStr> = searches.iter().map(|s| s.name.clone()).collect();
+        let collections: Set<SmolStr> = collections.iter().map(|c| c.name.clone()).collect();
+        let (mut names, mut keys) = (Set::default(), Set::default());
+        list.into_iter()
+            .map(|c| {
+                let at = c.span().start;
+                let c = c.into_inner();
+                let name = self.unique("caller", c.name, &mut names)?;
+                if let Some(key) = c.key {
+                    return Err(self.error(key.span().start, Fault::Plain(name)));
+                }
+                let at = c.key_sha256.as_ref().map_or(at, |h| h.span().start);
+                let key_sha256 = match c.key_sha256.map(Spanned::into_inner) {
+                    Some(Hash::Text(text)) if is_hash(&text) => text,
+                    _ => return Err(self.error(at, Fault::Hash(name))),
+                };
+                if !keys.insert(key_sha256.clone()) {
+                    return Err(self.error(at, Fault::Shared(name)));
+                }
+                Ok(config::Caller {
+                    name,
+                    key_sha256,
+                    rank: c.rank,
+                    searches: self.references("search", c.searches, &searches)?,
+                    orders: self.references("collection", c.orders, &collections)?,
+                })
+            })
+            .collect()
+    }
+
+    fn floors(&self, floors: Spanned<Floors>) -> Result<config::Floors> {
+        let at = floors.span().start;
+        let f = floors.into_inner();
+        let shares = [("floors.urgent", f.urgent), ("floors.routine", f.routine)];
+        for (field, value) in shares.into_iter().chain([("floors.intake", f.intake)]) {
+            if !(0.0..=1.0).contains(&value) {
+                return Err(self.error(at, Fault::Bounds(field, "from 0.0 to 1.0")));
+            }
+        }
+        Ok(config::Floors {
+            urgent: f.urgent,
+            routine: f.routine,
+            intake: f.intake,
+        })
+    }
+}
+
+/// Tells whether `text` has the form of a SHA-256 hash.
+fn is_hash(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,25 @@
-//! Configuration, plans, membership and its spreading.
+//! Configuration, plans, its propagation, and membership.
+//!
+//! [`node::Node`] holds what one host knows: the configuration in force, the proof that it is in
+//! force, catalogs, and which other hosts are alive. [`intent`], [`plan`] and [`accept`] are the
+//! operators' side.
+
+pub mod accept;
+pub mod change;
+pub mod delta;
+pub mod drain;
+pub mod effect;
+pub mod intent;
+pub mod member;
+pub mod node;
+pub mod plan;
+pub mod proof;
+pub mod record;
+pub mod relay;
+pub mod settings;
+mod spread;
+mod state;
+pub mod status;
+pub mod table;
+pub mod view;
+mod watching;
--- /dev/null
+++ b/crates/state/src/member.rs
@@ -0,0 +1,315 @@
+//! What is believed of other hosts.
+//!
+//! The platform's list lags, so it is combined with what this host saw itself and with rumors.
+//! A wrong belief costs efficiency only.
+
+use std::time::Duration;
+
+use rattanmast_model::{
+    catalog::Hosts,
+    config,
+    exchange::{Digest, RUMORS, Rumor, Standing},
+    hash::Map,
+    host::{Host, Incarnation, Name, State},
+};
+use tokio::time::Instant;
+
+/// Time for which own evidence outweighs a rumor.
+const EVIDENCE: Duration = Duration::from_secs(1);
+
+/// Rumors that wait to be passed on, at most; the most told are dropped first.
+const WAITING: usize = 256;
+
+#[derive(Clone, Debug, Default)]
+struct Member {
+    incarnation: Incarnation,
+    counter: u32,
+    state: Option<Standing>,
+    heard: Option<Instant>,
+    config: config::Version,
+    down: bool,
+    /// The platform's word, and when it came.
+    listed: Option<(Listed, Instant)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Listed {
+    Live,
+    Leaving,
+    Absent,
+}
+
+impl Member {
+    fn rank(&self) -> (Incarnation, bool, u32, Option<Standing>) {
+        let leaving = self.state == Some(Standing::Leaving);
+        (self.incarnation, leaving, self.counter, self.state)
+    }
+
+    fn usable(&self) -> bool {
+        let listed = self
+            .listed
+            .filter(|(_, at)| self.heard.is_none_or(|h| h < *at));
+        match self.state {
+            Some(Standing::Suspect | Standing::Leaving) => false,
+            _ => listed.is_none_or(|(l, _)| l == Listed::Live),
+        }
+    }
+}
+
+fn rank(rumor: &Rumor) -> (Incarnation, bool, u32, Option<Standing>) {
+    let leaving = rumor.state == Standing::Leaving;
+    (rumor.incarnation, leaving, rumor.counter, Some(rumor.state))
+}
+
+/// The other hosts of the roster.
+#[derive(Debug)]
+pub struct Members {
+    me: Name,
+    incarnation: Incarnation,
+    counter: u32,
+    leaving: bool,
+    members: Map<Name, Member>,
+    waiting: Vec<(Rumor, u32)>,
+}
+
+impl Members {
+    /// Returns the beliefs of the process run `incarnation` of `me`, which knows nobody yet.
+    pub fn new(me: Name, incarnation: Incarnation) -> Self {
+        let mut members = Self {
+            me,
+            incarnation,
+            counter: 0,
+            leaving: false,
+            members: Map::default(),
+            waiting: Vec::new(),
+        };
+        members.tell_self();
+        members
+    }
+
+    /// Takes over a new roster.
+    pub fn roster(&mut self, hosts: &[Host]) {
+        let mut old = std::mem::take(&mut self.members);
+        let others = hosts.iter().filter(|h| h.name != self.me);
+        self.members = others
+            .map(|h| (h.name.clone(), old.remove(&h.name).unwrap_or_default()))
+            .collect();
+        let members = &self.members;
+        let me = &self.me;
+        self.waiting
+            .retain(|(r, _)| r.host == *me || members.contains_key(&r.host));
+    }
+
+    /// Takes over the platform's list; an empty one is ignored.
+    pub fn listed(&mut self, hosts: &Hosts, now: Instant) {
+        if hosts.hosts.is_empty() {
+            return;
+        }
+        let list: Map<&Name, State> = hosts.hosts.iter().map(|(n, s)| (n, *s)).collect();
+        for (name, member) in &mut self.members {
+            let word = match list.get(name) {
+                Some(State::Live) => Listed::Live,
+                Some(State::Leaving) => Listed::Leaving,
+                None => Listed::Absent,
+            };
+            if member.listed.is_none_or(|(l, _)| l != word) {
+                member.listed = Some((word, now));
+            }
+        }
+    }
+
+    /// Notes what a host said of itself.
+    pub fn heard(&mut self, digest: &Digest, now: Instant) {
+        let Some(member) = self.members.get_mut(&digest.host) else {
+            return;
+        };
+        if digest.incarnation < member.incarnation {
+            return;
+        }
+        let restarted = digest.incarnation > member.incarnation;
+        let state = match digest.leaving {
+            true => Standing::Leaving,
+            false => Standing::Alive,
+        };
+        // A host that said it leaves does not return in the same process run.
+        let left = member.state == Some(Standing::Leaving) && !restarted;
+        if restarted {
+            member.incarnation = digest.incarnation;
+            member.counter = 0;
+        }
+        if !left {
+            member.state = Some(state);
+        }
+        member.heard = Some(now);
+        member.config = digest.config;
+        member.down = digest.down;
+    }
+
+    /// Notes that a host replied to something else than an exchange.
+    pub fn answered(&mut self, host: &Name, incarnation: Incarnation, now: Instant) {
+        let Some(member) = self.members.get_mut(host) else {
+            return;
+        };
+        if incarnation < member.incarnation {
+            return;
+        }
+        let restarted = incarnation > member.incarnation;
+        member.incarnation = incarnation;
+        member.heard = Some(now);
+        if restarted || member.state == Some(Standing::Suspect) {
+            member.state = Some(Standing::Alive);
+        }
+    }
+
+    /// Notes that a host did not answer; returns whether that is news.
+    pub fn failed(&mut self, host: &Name) -> bool {
+        let Some(member) = self.members.get_mut(host) else {
+            return false;
+        };
+        if !matches!(member.state, None | Some(Standing::Alive)) {
+            return false;
+        }
+        member.state = Some(Standing::Suspect);
+        let rumor = Rumor {
+            host: host.clone(),
+            incarnation: member.incarnation,
+            counter: member.counter,
+            state: Standing::Suspect,
+        };
+        self.tell(rumor);
+        true
+    }
+
+    /// Takes over a rumor if it is news; returns whether it was.
+    pub fn rumor(&mut self, rumor: &Rumor, now: Instant) -> bool {
+        if rumor.host == self.me {
+            return self.refute(rumor);
+        }
+        let Some(member) = self.members.get_mut(&rumor.host) else {
+            return false;
+        };
+        let fresh = member
+            .heard
+            .is_some_and(|h| now.duration_since(h) < EVIDENCE);
+        let seen = fresh && member.incarnation == rumor.incarnation;
+        if rank(rumor) <= member.rank() || (seen && rumor.state == Standing::Suspect) {
+            return false;
+        }
+        member.incarnation = rumor.incarnation;
+        member.counter = rumor.counter;
+        member.state = Some(rumor.state);
+        self.tell(rumor.clone());
+        true
+    }
+
+    /// Clears a suspicion of this host by a higher counter.
+    fn refute(&mut self, rumor: &Rumor) -> bool {
+        let wrong = rumor.incarnation == self.incarnation
+            && rumor.state == Standing::Suspect
+            && rumor.counter >= self.counter;
+        if wrong {
+            self.counter = rumor.counter.saturating_add(1);
+            self.tell_self();
+        }
+        wrong
+    }
+
+    /// Notes that this host is stopping.
+    pub fn leave(&mut self) -> Rumor {
+        self.leaving = true;
+        self.tell_self()
+    }
+
+    /// Tells whether this host is stopping.
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    fn tell_self(&mut self) -> Rumor {
+        let rumor = Rumor {
+            host: self.me.clone(),
+            incarnation: self.incarnation,
+            counter: self.counter,
+            state: match self.leaving {
+                true => Standing::Leaving,
+                false => Standing::Alive,
+            },
+        };
+        self.tell(rumor.clone());
+        rumor
+    }
+
+    /// Queues a rumor for as many digests as it takes to reach the fleet.
+    fn tell(&mut self, rumor: Rumor) {
+        let times = 3 * (self.members.len() + 2).ilog2() + 3;
+        self.waiting.retain(|(r, _)| r.host != rumor.host);
+        self.waiting.push((rumor, times));
+        if self.waiting.len() > WAITING {
+            self.waiting.sort_by_key(|w| std::cmp::Reverse(w.1));
+            self.waiting.truncate(WAITING);
+        }
+    }
+
+    /// Returns the rumors for a digest to `peer`, the least told first.
+    ///
+    /// What is believed of `peer` itself goes first, so that it can clear it.
+    pub fn rumors(&mut self, peer: Option<&Name>) -> Vec<Rumor> {
+        let mut list = Vec::new();
+        let suspect = |m: &&Member| m.state == Some(Standing::Suspect);
+        if let Some((name, m)) = peer.and_then(|p| Some((p, self.members.get(p).filter(suspect)?)))
+        {
+            list.push(Rumor {
+                host: name.clone(),
+                incarnation: m.incarnation,
+                counter: m.counter,
+                state: Standing::Suspect,
+            });
+        }
+        self.waiting.sort_by_key(|w| std::cmp::Reverse(w.1));
+        let room = RUMORS - list.len();
+        for (rumor, times) in self.waiting.iter_mut().take(room) {
+            *times -= 1;
+            list.push(rumor.clone());
+        }
+        self.waiting.retain(|w| w.1 > 0);
+        list
+    }
+
+    /// Tells whether a host is believed to be alive and not leaving.
+    pub fn usable(&self, host: &Name) -> bool {
+        if *host == self.me {
+            return !self.leaving;
+        }
+        self.members.get(host).is_some_and(Member::usable)
+    }
+
+    /// Tells whether a host is usable and, as far as is known, reaches the platform.
+    pub fn reaches(&self, host: &Name) -> bool {
+        self.usable(host) && self.members.get(host).is_none_or(|m| !m.down)
+    }
+
+    /// Returns the process run of a host, if one was heard of.
+    pub fn incarnation(&self, host: &Name) -> Option<Incarnation> {
+        if *host == self.me {
+            return Some(self.incarnation);
+        }
+        let known = self.members.get(host).map(|m| m.incarnation);
+        known.filter(|i| *i != Incarnation::default())
+    }
+
+    /// Returns the configuration that each host was last heard to have.
+    pub fn configs(&self) -> Vec<(Name, config::Version)> {
+        let heard = self.members.iter().filter(|(_, m)| m.heard.is_some());
+        let mut list: Vec<_> = heard.map(|(n, m)| (n.clone(), m.config)).collect();
+        list.sort_unstable();
+        list
+    }
+
+    /// Returns the hosts that are not usable.
+    pub fn unusable(&self) -> Vec<Name> {
+        let bad = self.members.iter().filter(|(_, m)| !m.usable());
+        let mut list: Vec<Name> = bad.map(|(n, _)| n.clone()).collect();
+        list.sort_unstable();
+        list
+    }
+}
--- /dev/null
+++ b/crates/state/src/proof.rs
@@ -0,0 +1,142 @@
+//! Whether the configuration held is known to be in force.
+//!
+//! A *confirmation* (version, instant) says that no newer configuration had been accepted at that
+//! instant. It comes from a version read that began then, or from more than half of the watchers:
+//! an accepted configuration is held by more than half of them, so any such majority includes one
+//! that holds it.
+
+use std::time::Duration;
+
+use rattanmast_model::{
+    exchange::{Confirmed, Source},
+    hash::Map,
+    host::Name,
+    store::Version,
+};
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// The greatest age of a proof that a host serves with.
+pub const LIMIT: Duration = Duration::from_secs(3);
+
+/// What a host can prove about its configuration now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Proof {
+    /// How old the proof is; `None` if there never was one.
+    pub age: Option<Duration>,
+    /// How it is known.
+    pub source: Option<Source>,
+}
+
+impl Proof {
+    /// Tells whether the proof is recent enough to serve with.
+    pub fn serving(&self) -> bool {
+        self.age.is_some_and(|age| age <= LIMIT)
+    }
+}
+
+/// The confirmations and statements that a host has heard.
+#[derive(Debug)]
+pub struct Ledger {
+    start: Instant,
+    informed: bool,
+    held: Version,
+    proven: Option<(Instant, Source)>,
+    /// A confirmation of a version that is not held yet.
+    pending: Option<(Version, Instant, Source)>,
+    statements: Map<Name, (Version, Instant)>,
+}
+
+impl Ledger {
+    /// Returns the empty ledger of a process that began at `start`.
+    pub fn new(start: Instant) -> Self {
+        Self {
+            start,
+            informed: false,
+            held: Version(0),
+            proven: None,
+            pending: None,
+            statements: Map::default(),
+        }
+    }
+
+    /// Notes that `version` is held now.
+    pub fn hold(&mut self, version: Version) {
+        self.held = self.held.max(version);
+        if let Some((version, at, source)) = self.pending.take_if(|p| p.0 <= self.held) {
+            self.confirm(version, at, source);
+        }
+    }
+
+    /// Notes that no configuration newer than `version` had been accepted at `at`.
+    pub fn confirm(&mut self, version: Version, at: Instant, source: Source) {
+        if version > self.held {
+            if self.pending.is_none_or(|p| p.1 < at) {
+                self.pending = Some((version, at, source));
+            }
+        } else if version != Version(0) {
+            self.informed |= at >= self.start;
+            if self.proven.is_none_or(|p| p.0 < at) {
+                self.proven = Some((at, source));
+            }
+        }
+    }
+
+    /// Notes that the informed watcher `name` held `version` at `at`.
+    pub fn state(&mut self, name: &Name, version: Version, at: Instant) {
+        let entry = self.statements.entry(name.clone()).or_insert((version, at));
+        if entry.1 <= at {
+            *entry = (entry.0.max(version), at);
+        }
+    }
+
+    /// Forgets statements of hosts that are not watchers.
+    pub fn keep(&mut self, watchers: &[Name]) {
+        self.statements.retain(|name, _| watchers.contains(name));
+    }
+
+    /// Confirms the configuration by what more than half of `watchers` said.
+    ///
+    /// A watcher's own word counts at `now` if it is informed.
+    pub fn count(&mut self, watchers: &[Name], me: &Name, now: Instant) {
+        if self.informed() && watchers.contains(me) {
+            let held = self.held;
+            self.state(me, held, now);
+        }
+        let said = watchers.iter().filter_map(|w| self.statements.get(w));
+        let mut said: Vec<(Version, Instant)> = said.copied().collect();
+        said.sort_unstable_by_key(|s| std::cmp::Reverse(s.1));
+        let majority = watchers.len() / 2 + 1;
+        let highest = said.iter().map(|s| s.0).max();
+        if let (Some(oldest), Some(version)) = (said.get(majority - 1), highest) {
+            self.confirm(version, oldest.1, Source::Watchers);
+        }
+    }
+
+    /// Tells whether a configuration was confirmed as of an instant after this process started.
+    ///
+    /// An older confirmation is not enough for a watcher's word to count: the process run before
+    /// may have held, and so helped to accept, a newer configuration after that instant.
+    pub fn informed(&self) -> bool {
+        self.informed
+    }
+
+    /// Returns what can be proven at `now`.
+    pub fn proof(&self, now: Instant) -> Proof {
+        Proof {
+            age: self.proven.map(|(at, _)| now.saturating_duration_since(at)),
+            source: self.proven.map(|(_, source)| source),
+        }
+    }
+
+    /// Returns what a reply sent at `now` may say.
+    pub fn relay(&self, now: Instant) -> Option<Confirmed> {
+        let (at, source) = self.proven?;
+        let age = now.saturating_duration_since(at);
+        (age <= LIMIT).then(|| Confirmed {
+            version: self.held,
+            age_ms: u32::try_from(age.as_millis()).map_or(u32::MAX, |ms| ms.saturating_add(1)),
+            source,
+        })
+    }
+}
--- /dev/null
+++ b/crates/state/src/relay.rs
@@ -0,0 +1,52 @@
+//! From whom a host learns that its configuration is in force.
+//!
+//! With random exchanges alone, word from 9 watchers takes longer than 3 s to reach 2,200 hosts.
+//! Hosts are therefore placed in layers: the watchers, then layers that are each [`FAN`] times
+//! larger. A host asks a random host of the layer above, so no single host is needed.
+
+use rattanmast_model::{
+    hash,
+    host::{Host, Name},
+    roster,
+};
+
+/// Hosts of a layer for each host of the layer above.
+pub const FAN: usize = 7;
+
+/// A host's place.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    /// The watchers, in order of responsibility.
+    pub watchers: Vec<Name>,
+    /// The hosts to ask; empty if the host is a watcher.
+    pub above: Vec<Name>,
+}
+
+impl Place {
+    /// Returns the place of `me` among `hosts`; a host that is not listed is in the last layer.
+    pub fn of(hosts: &[Host], me: &Name) -> Self {
+        let watchers = roster::watchers(hosts).into_iter().map(|h| h.name.clone());
+        let watchers: Vec<Name> = watchers.collect();
+        if watchers.contains(me) {
+            let above = Vec::new();
+            return Self { watchers, above };
+        }
+        let mut rest: Vec<(u64, &Name)> = hosts
+            .iter()
+            .filter(|h| !watchers.contains(&h.name))
+            .map(|h| (hash::stable([b"relay", h.name.as_bytes()]), &h.name))
+            .collect();
+        rest.sort_unstable();
+        let mut above = watchers.clone();
+        let mut rest = rest.as_slice();
+        loop {
+            let layer = rest.len().min(above.len().max(1) * FAN);
+            let (now, later) = rest.split_at(layer);
+            if later.is_empty() || now.iter().any(|(_, name)| *name == me) {
+                return Self { watchers, above };
+            }
+            above = now.iter().map(|(_, name)| (*name).clone()).collect();
+            rest = later;
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/settings.rs
@@ -0,0 +1,36 @@
+//! Settings of a node.
+
+use std::{net::SocketAddr, time::Duration};
+
+/// Settings of a node; the defaults are those of the design page.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Exchange addresses of hosts to ask before a roster is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between exchanges with a random host.
+    pub exchange: Duration,
+    /// Time between a watcher's reads of the version.
+    pub read: Duration,
+    /// Time that a watch waits at the platform.
+    pub watch: Duration,
+    /// Time that a host has for a reply; several times the round trip between regions (24 ms).
+    pub reply: Duration,
+    /// Time that a host has to send objects.
+    pub fetch: Duration,
+    /// Time that the platform has to answer a read of the version.
+    pub platform: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            exchange: Duration::from_millis(500),
+            read: Duration::from_secs(1),
+            watch: Duration::from_secs(30),
+            reply: Duration::from_millis(250),
+            fetch: Duration::from_secs(2),
+            platform: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/table.rs
@@ -0,0 +1,276 @@
+//! The objects that a host holds, and the changes that led to them.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use rattanmast_model::{
+    catalog::Catalog,
+    exchange::{Body, Fetch, OBJECTS, Piece, Update},
+    hash::{self, Map},
+    store::{VALUE_LIMIT, Version},
+};
+use sha2::{Digest as _, Sha256};
+use smol_str::SmolStr;
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::{delta, record, view::View};
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Earlier versions of an object from which a change can be sent.
+const STEPS: usize = 16;
+
+/// Why an object was not taken over; the last good one stays in force.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The bytes are not what the name promises.
+    #[snafu(display("object {name} cannot be read ({source}); restore it from its history"))]
+    Unreadable {
+        /// The object.
+        name: SmolStr,
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// A newer object holds an older configuration.
+    #[snafu(display(
+        "configuration {new} was written over {held}; roll back with `rattanmast-ctl plan \
+         --rollback`, which makes a higher version"
+    ))]
+    Reverts {
+        /// The version held.
+        held: u64,
+        /// The version offered.
+        new: u64,
+    },
+    /// The name is none that hosts read.
+    #[snafu(display("object {name} is not one that hosts read; upgrade this host"))]
+    Unnamed {
+        /// The object.
+        name: SmolStr,
+    },
+    /// A change does not fit the version held.
+    #[snafu(display("change to object {name} does not fit; the whole object is fetched"))]
+    Unfit {
+        /// The object.
+        name: SmolStr,
+    },
+}
+
+#[derive(Debug)]
+struct Held {
+    version: Version,
+    value: Arc<[u8]>,
+    /// The versions before this one, oldest first, each with what leads to the next.
+    steps: VecDeque<(Version, Vec<Piece>)>,
+}
+
+/// The objects that a host holds.
+#[derive(Debug, Default)]
+pub struct Table {
+    objects: Map<SmolStr, Held>,
+    view: View,
+}
+
+impl Table {
+    /// Returns what the objects say.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the version held of an object; 0 if there is none.
+    pub fn version(&self, name: &str) -> Version {
+        self.objects.get(name).map_or(Version(0), |h| h.version)
+    }
+
+    /// Returns a hash of the names and versions of all objects.
+    pub fn summary(&self) -> u64 {
+        let one = |(name, held): (&SmolStr, &Held)| {
+            hash::stable([name.as_bytes(), &held.version.0.to_le_bytes()])
+        };
+        self.objects.iter().map(one).fold(0, u64::wrapping_add)
+    }
+
+    /// Returns the names and versions of the objects, as many as a digest takes.
+    pub fn list(&self) -> Vec<(SmolStr, Version)> {
+        let all = self.objects.iter().map(|(n, h)| (n.clone(), h.version));
+        let mut list: Vec<_> = all.collect();
+        list.sort_unstable_by_key(|b| std::cmp::Reverse(b.1));
+        list.truncate(OBJECTS);
+        list
+    }
+
+    /// Returns which of a peer's objects are newer than the ones held.
+    pub fn wants(&self, theirs: &[(SmolStr, Version)]) -> Fetch {
+        let newer = theirs
+            .iter()
+            .filter(|(n, v)| *v > self.version(n) && self.reads(n));
+        Fetch {
+            wants: newer.map(|(n, _)| (n.clone(), self.version(n))).collect(),
+        }
+    }
+
+    /// Returns whether a peer lacks any object, going by its list.
+    pub fn exceeds(&self, theirs: &[(SmolStr, Version)]) -> bool {
+        self.objects.iter().any(|(name, held)| {
+            let has = theirs.iter().find(|(n, _)| n == name).map(|(_, v)| *v);
+            has.is_none_or(|v| v < held.version)
+        })
+    }
+
+    /// Tells whether this host reads the object `name`.
+    ///
+    /// Catalogs of collections that the configuration does not name are left alone, so that
+    /// peers cannot fill the host's memory.
+    pub fn reads(&self, name: &str) -> bool {
+        match name {
+            record::CURRENT | record::HOSTS | record::LEAFS => true,
+            _ => name
+                .strip_prefix(record::CATALOG)
+                .is_some_and(|c| self.view.config.collection(c).is_some()),
+        }
+    }
+
+    /// Returns the answer to a request for objects.
+    pub fn updates(&self, fetch: &Fetch) -> Vec<Update> {
+        let wants = fetch.wants.iter().take(OBJECTS);
+        wants
+            .filter_map(|(n, have)| self.update(n, *have))
+            .collect()
+    }
+
+    fn update(&self, name: &str, have: Version) -> Option<Update> {
+        let (name, held) = self.objects.get_key_value(name)?;
+        if held.version <= have {
+            return None;
+        }
+        let from = held.steps.iter().position(|(v, _)| *v == have);
+        let steps = from.map(|i| held.steps.iter().skip(i).map(|(_, p)| p.clone()));
+        let steps = steps.map(Iterator::collect::<Vec<_>>);
+        let small = |s: &Vec<Vec<Piece>>| {
+            s.iter().map(|p| delta::cost(p)).sum::<usize>() < held.value.len() / 2
+        };
+        Some(Update {
+            name: name.clone(),
+            version: held.version,
+            check: check(&held.value),
+            body: match steps.filter(small) {
+                Some(steps) => Body::Steps(steps),
+                None => Body::Whole(held.value.to_vec()),
+            },
+        })
+    }
+
+    /// Takes over an update from a peer if it is newer; returns whether it was.
+    ///
+    /// # Errors
+    ///
+    /// If the object cannot be read, or the change does not fit.
+    pub fn receive(&mut self, update: Update) -> Result<bool> {
+        let Update {
+            name,
+            version,
+            check: expected,
+            body,
+        } = update;
+        if version <= self.version(&name) {
+            return Ok(false);
+        }
+        let value = match body {
+            Body::Whole(value) => Some(value),
+            Body::Steps(steps) => {
+                let old = self.objects.get(&name).map_or(&[][..], |h| &h.value);
+                steps
+                    .iter()
+                    .take(STEPS)
+                    .try_fold(old.to_vec(), |v, s| delta::apply(&v, s))
+            }
+        };
+        let value = value.filter(|v| v.len() <= VALUE_LIMIT && check(v) == expected);
+        let Some(value) = value else {
+            return UnfitSnafu { name }.fail();
+        };
+        self.offer(&name, version, value)
+    }
+
+    /// Takes over an object if it is newer than the one held; returns whether it was.
+    ///
+    /// # Errors
+    ///
+    /// If the object cannot be read or would revert the configuration.
+    pub fn offer(&mut self, name: &str, version: Version, value: Vec<u8>) -> Result<bool> {
+        if version <= self.version(name) {
+            return Ok(false);
+        }
+        self.parse(name, &value)?;
+        let value: Arc<[u8]> = value.into();
+        match self.objects.get_mut(name) {
+            None => {
+                let steps = VecDeque::new();
+                let held = Held {
+                    version,
+                    value,
+                    steps,
+                };
+                self.objects.insert(SmolStr::new(name), held);
+            }
+            Some(held) => {
+                let pieces = delta::between(&held.value, &value);
+                if delta::cost(&pieces) * 4 < value.len() {
+                    held.steps.push_back((held.version, pieces));
+                    let excess = held.steps.len().saturating_sub(STEPS);
+                    held.steps.drain(..excess);
+                } else {
+                    held.steps.clear();
+                }
+                held.version = version;
+                held.value = value;
+            }
+        }
+        Ok(true)
+    }
+
+    fn parse(&mut self, name: &str, value: &[u8]) -> Result<()> {
+        let unreadable = UnreadableSnafu { name };
+        match name {
+            record::CURRENT => {
+                let config: rattanmast_model::config::Config =
+                    serde_json::from_slice(value).context(unreadable)?;
+                let (held, new) = (self.view.config.version.0, config.version.0);
+                ensure!(new > held, RevertsSnafu { held, new });
+                self.view.config = Arc::new(config);
+                self.prune();
+            }
+            record::HOSTS => {
+                let hosts = serde_json::from_slice(value).context(unreadable)?;
+                self.view.hosts = Arc::new(hosts);
+            }
+            record::LEAFS => {
+                let leafs = serde_json::from_slice(value).context(unreadable)?;
+                self.view.leafs = Arc::new(leafs);
+            }
+            _ => {
+                ensure!(self.reads(name), UnnamedSnafu { name });
+                let catalog: Catalog = serde_json::from_slice(value).context(unreadable)?;
+                let collection = SmolStr::new(&name[record::CATALOG.len()..]);
+                Arc::make_mut(&mut self.view.catalogs).insert(collection, Arc::new(catalog));
+            }
+        }
+        Ok(())
+    }
+
+    /// Drops catalogs of collections that the configuration no longer names.
+    fn prune(&mut self) {
+        let config = self.view.config.clone();
+        let kept = |c: &str| config.collection(c).is_some();
+        self.objects
+            .retain(|n, _| n.strip_prefix(record::CATALOG).is_none_or(kept));
+        if self.view.catalogs.keys().any(|c| !kept(c)) {
+            Arc::make_mut(&mut self.view.catalogs).retain(|c, _| kept(c));
+        }
+    }
+}
+
+fn check(value: &[u8]) -> [u8; 8] {
+    let hash = Sha256::digest(value);
+    std::array::from_fn(|i| hash[i])
+}
