Add the entry host

Cause: the roles need one process that connects them to callers, leafs, other hosts and the platform. Change: crate `host`: a chain of filters for each route, problem documents with the outcome, metrics, a span for each hop with W3C trace context, tonic and tarpc servers and clients, controllers that follow the state, a graceful stop. Calls of a host to its own roles go through a queue, so that the roles do not contain each other's types. Conclusion: ping frames on hop connections find silent ones within 1 s.

--- /dev/null
+++ b/crates/host/src/cli.rs
@@ -0,0 +1,131 @@
+//! The options of the host as the user types them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bpaf::Bpaf;
+use log::{LevelFilter, SetLoggerError};
+use rattanmast_host::config::{Config, Result, Traces};
+use rattanmast_model::host::Host;
+use simplelog::{ConfigBuilder, WriteLogger};
+use smol_str::SmolStr;
+
+/// Entry host of rattanmast: answers callers, dispatches to leafs, claims orders.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub struct Options {
+    /// Name of this host in the roster, such as h1.
+    #[bpaf(env("RATTANMAST_NAME"), argument("NAME"))]
+    name: String,
+    /// Failure domain that this host runs in, such as vestland.
+    #[bpaf(env("RATTANMAST_DOMAIN"), argument("DOMAIN"))]
+    domain: String,
+    /// Address for callers, operators and the balancer (HTTP).
+    #[bpaf(env("RATTANMAST_HTTP"), argument("IP:PORT"))]
+    http: SocketAddr,
+    /// Address for queries and orders of other hosts (tonic).
+    #[bpaf(env("RATTANMAST_HOP"), argument("IP:PORT"))]
+    hop: SocketAddr,
+    /// Address for the exchange of state with other hosts (tarpc).
+    #[bpaf(env("RATTANMAST_EXCHANGE"), argument("IP:PORT"))]
+    exchange: SocketAddr,
+    /// Address of the platform's object service.
+    #[bpaf(env("RATTANMAST_PLATFORM"), argument("IP:PORT"))]
+    platform: SocketAddr,
+    /// Exchange addresses of other hosts, separated by commas; needed to start while the platform is down.
+    #[bpaf(
+        env("RATTANMAST_SEEDS"),
+        argument::<String>("IP:PORT,..."),
+        parse(addresses),
+        fallback(Vec::new())
+    )]
+    seeds: Vec<SocketAddr>,
+    /// Milliseconds between readiness going off and new requests being refused.
+    #[bpaf(
+        env("RATTANMAST_LAME_DUCK_MS"),
+        argument("MS"),
+        fallback(5_000),
+        display_fallback
+    )]
+    lame_duck_ms: u64,
+    /// Milliseconds after which a stop no longer waits for work in hand.
+    #[bpaf(
+        env("RATTANMAST_LONGEST_STOP_MS"),
+        argument("MS"),
+        fallback(60_000),
+        display_fallback
+    )]
+    longest_stop_ms: u64,
+    /// Where spans go: off, log, or the address of an OTLP collector (gRPC).
+    #[bpaf(
+        env("RATTANMAST_TRACES"),
+        argument::<String>("off|log|IP:PORT"),
+        parse(traces),
+        fallback(Traces::Off)
+    )]
+    traces: Traces,
+    /// Least severe messages to log: off, error, warn, info, debug or trace.
+    #[bpaf(
+        env("RATTANMAST_LOG"),
+        argument("LEVEL"),
+        fallback(LevelFilter::Info),
+        display_fallback
+    )]
+    log: LevelFilter,
+    /// Seed of random choices; taken from the clock if left out.
+    #[bpaf(env("RATTANMAST_SEED"), argument("N"), optional)]
+    seed: Option<u64>,
+}
+
+fn addresses(text: String) -> std::result::Result<Vec<SocketAddr>, String> {
+    let parts = text.split(',').map(str::trim).filter(|s| !s.is_empty());
+    parts
+        .map(|part| {
+            let parsed = part.parse::<SocketAddr>();
+            parsed.map_err(|_| {
+                format!("{part} is not of the form IP:PORT; list such as 10.0.0.1:7003")
+            })
+        })
+        .collect()
+}
+
+fn traces(text: String) -> std::result::Result<Traces, String> {
+    match text.as_str() {
+        "off" => Ok(Traces::Off),
+        "log" => Ok(Traces::Log),
+        addr => addr.parse().map(Traces::Otlp).map_err(|_| {
+            format!("{addr} is neither off, log nor of the form IP:PORT; use one of these")
+        }),
+    }
+}
+
+impl Options {
+    /// Starts the log on standard error.
+    pub fn start_log(&self) -> std::result::Result<(), SetLoggerError> {
+        let config = ConfigBuilder::new()
+            .set_time_format_rfc3339()
+            .add_filter_allow_str("rattanmast")
+            .add_filter_allow_str("trace")
+            .build();
+        WriteLogger::init(self.log, config, std::io::stderr())
+    }
+
+    /// Returns the checked settings.
+    pub fn config(self) -> Result<Config> {
+        let config = Config {
+            host: Host {
+                name: SmolStr::from(self.name),
+                domain: SmolStr::from(self.domain),
+                http: self.http,
+                hop: self.hop,
+                exchange: self.exchange,
+            },
+            platform: self.platform,
+            seeds: self.seeds,
+            lame_duck: Duration::from_millis(self.lame_duck_ms),
+            longest_stop: Duration::from_millis(self.longest_stop_ms),
+            traces: self.traces,
+            seed: self.seed.unwrap_or_else(rattanmast_host::clock::unix_ns),
+        };
+        config.checked()
+    }
+}
--- /dev/null
+++ b/crates/host/src/controllers.rs
@@ -0,0 +1,129 @@
+//! Controllers that bring the roles in line with the state.
+
+use std::{sync::Arc, time::Duration};
+
+use rattanmast_gather::Gatherer;
+use rattanmast_state::{node::Node, settings::Settings};
+use rattanmast_wire::{exchange, store};
+use tokio::{sync::watch, time};
+
+use crate::{
+    api::World, auth::Callers, config::Config, local::Roles, metrics::Metrics, peers::Peers,
+};
+
+/// How often the proof of the configuration and leaving leafs are looked at.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Returns the settings of the state's controllers.
+pub fn state_settings(config: &Config) -> Settings {
+    Settings {
+        seeds: config.seeds.clone(),
+        ..Settings::default()
+    }
+}
+
+/// Passes on what changes in the state to the roles.
+pub struct Follow {
+    /// The state.
+    pub node: Node<store::Client, exchange::Client>,
+    /// Dispatching and claiming.
+    pub roles: Roles,
+    /// Answers queries.
+    pub gatherer: Gatherer<Peers>,
+    /// Calls to other hosts.
+    pub peers: Peers,
+    /// What the callers' interface knows.
+    pub worlds: watch::Sender<World>,
+}
+
+impl Follow {
+    /// Runs until dropped.
+    pub async fn run(self) {
+        let mut view = self.node.view();
+        let mut tick = time::interval(TICK);
+        loop {
+            tokio::select! {
+                changed = view.changed() => match changed {
+                    Ok(()) => self.apply(),
+                    Err(_) => return,
+                },
+                _ = tick.tick() => self.look(),
+            }
+        }
+    }
+
+    /// Gives a new view to all roles.
+    fn apply(&self) {
+        let view = self.node.view().borrow().clone();
+        self.peers.apply(&view.config);
+        self.roles
+            .dispatcher
+            .apply(view.config.clone(), view.leafs.clone());
+        self.roles.orders.apply(view.config.clone());
+        self.gatherer.apply(
+            view.config.clone(),
+            view.catalogs.clone(),
+            view.leafs.clone(),
+        );
+        let callers = Arc::new(Callers::new(&view.config));
+        self.worlds.send_modify(|world| {
+            world.config = view.config.clone();
+            world.callers = callers;
+        });
+        self.look();
+    }
+
+    /// Switches the roles on or off, and shares what is known of leaving leafs.
+    fn look(&self) {
+        let serving = self.node.proof().serving();
+        self.roles.dispatcher.serve(serving);
+        self.roles.orders.serve(serving);
+        self.worlds.send_if_modified(|world| {
+            let changed = world.serving != serving;
+            world.serving = serving;
+            changed
+        });
+        let own = self.roles.dispatcher.left().into_iter();
+        let own: Vec<_> = own.chain(self.gatherer.leaving()).collect();
+        self.node.heard_leaving(&own);
+        self.roles.dispatcher.leaving(&self.node.leaving_leafs());
+    }
+}
+
+/// Brings the metrics up to date when they are asked for.
+#[derive(Clone)]
+pub struct Scrape {
+    metrics: Metrics,
+    roles: Roles,
+    gatherer: Gatherer<Peers>,
+    node: Node<store::Client, exchange::Client>,
+}
+
+impl Scrape {
+    /// Returns a scrape of the given parts.
+    pub fn new(
+        metrics: Metrics,
+        roles: &Roles,
+        gatherer: &Gatherer<Peers>,
+        node: &Node<store::Client, exchange::Client>,
+    ) -> Self {
+        Self {
+            metrics,
+            roles: roles.clone(),
+            gatherer: gatherer.clone(),
+            node: node.clone(),
+        }
+    }
+
+    /// Returns the metrics in the text format.
+    pub fn render(&self) -> Vec<u8> {
+        for (event, value) in self.gatherer.stats().fields() {
+            self.metrics.count("root", event, value);
+        }
+        self.metrics
+            .gauge("state", "serving", u64::from(self.node.proof().serving()));
+        let version = self.node.view().borrow().config.version;
+        self.metrics.gauge("state", "config_version", version.0);
+        self.metrics.render()
+    }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,1 +1,19 @@
-//! The entry host.
+//! The entry host: one process that takes callers' requests, dispatches to
+//! leafs, claims orders and keeps its configuration up to date.
+
+pub mod api;
+pub mod auth;
+pub mod clock;
+pub mod config;
+pub mod controllers;
+pub mod filter;
+pub mod hop;
+pub mod host;
+pub mod local;
+pub mod metrics;
+pub mod peers;
+pub mod problem;
+pub mod server;
+pub mod spans;
+
+pub use host::{Host, Listeners};
--- /dev/null
+++ b/crates/host/src/metrics.rs
@@ -0,0 +1,124 @@
+//! Prometheus metrics of one host.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+use rattanmast_model::rank::Rank;
+
+/// Bounds of latency buckets, in seconds; the target is 0.1.
+const LATENCY: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0,
+];
+
+/// Bounds of coverage buckets; whole answers are in the last one alone.
+const COVERAGE: [f64; 7] = [0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999_999];
+
+/// The metrics of one host.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    coverage: Histogram,
+    counts: IntGaugeVec,
+    gauges: IntGaugeVec,
+}
+
+/// Registers `metric`; the names are constants of this module, so this cannot fail.
+fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: M) -> M {
+    let copy = Box::new(metric.clone());
+    registry.register(copy).expect("metric names are distinct");
+    metric
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counter = |name, help, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels).expect("metric name is valid")
+        };
+        let gauge = |name, help, labels: &[&str]| {
+            IntGaugeVec::new(Opts::new(name, help), labels).expect("metric name is valid")
+        };
+        let latency = HistogramOpts::new(
+            "rattanmast_request_seconds",
+            "Time from a request's arrival to its answer, by kind and rank.",
+        );
+        let latency = HistogramVec::new(latency.buckets(LATENCY.into()), &["kind", "rank"])
+            .expect("metric name is valid");
+        let coverage = HistogramOpts::new(
+            "rattanmast_coverage",
+            "Share of the snapshot's records that answers cover.",
+        );
+        let coverage =
+            Histogram::with_opts(coverage.buckets(COVERAGE.into())).expect("metric name is valid");
+        Self {
+            requests: register(
+                &registry,
+                counter(
+                    "rattanmast_requests_total",
+                    "Answered requests, by kind, rank and outcome.",
+                    &["kind", "rank", "outcome"],
+                ),
+            ),
+            latency: register(&registry, latency),
+            coverage: register(&registry, coverage),
+            counts: register(
+                &registry,
+                gauge(
+                    "rattanmast_events_total",
+                    "Events since the process started, by role and event.",
+                    &["role", "event"],
+                ),
+            ),
+            gauges: register(
+                &registry,
+                gauge(
+                    "rattanmast_state",
+                    "Current values, by role and name.",
+                    &["role", "name"],
+                ),
+            ),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts an answered request.
+    pub fn answered(&self, kind: &str, rank: Rank, outcome: &str, took: Duration) {
+        let labels = [kind, rank.name(), outcome];
+        self.requests.with_label_values(&labels).inc();
+        let latency = self.latency.with_label_values(&[kind, rank.name()]);
+        latency.observe(took.as_secs_f64());
+    }
+
+    /// Records the coverage of an answer.
+    pub fn covered(&self, coverage: f64) {
+        self.coverage.observe(coverage);
+    }
+
+    /// Sets the count of an event since the start.
+    pub fn count(&self, role: &str, event: &str, value: u64) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        self.counts.with_label_values(&[role, event]).set(value);
+    }
+
+    /// Sets a current value.
+    pub fn gauge(&self, role: &str, name: &str, value: u64) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        self.gauges.with_label_values(&[role, name]).set(value);
+    }
+
+    /// Returns the metrics in the text format.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("metrics could not be rendered: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/host/src/peers.rs
@@ -0,0 +1,219 @@
+//! Calls to other hosts over tonic.
+
+use std::{
+    error::Error as _,
+    net::SocketAddr,
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
+
+use rattanmast_model::{
+    config::Config,
+    hash::Map,
+    host,
+    outcome::Outcome,
+    peer::{self, Error, Order, Result, Subquery, Subreply},
+};
+use rattanmast_state::node::Node;
+use rattanmast_wire::{
+    exchange,
+    hop::proto::{Key, hop_client::HopClient},
+    store,
+};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::{mpsc, oneshot};
+use tonic::{
+    ConnectError, Status,
+    transport::{Channel, Endpoint},
+};
+
+use crate::local::Call;
+
+/// Time to open a connection to another host; regions are 12 ms apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A connection with open calls that does not answer a ping for this long is replaced.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
+
+/// The largest reply of a dispatcher, in bytes.
+const REPLY_LIMIT: usize = 16 << 20;
+
+/// Calls to other hosts; calls to the own host go to its roles directly.
+#[derive(Clone)]
+pub struct Peers {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    me: host::Name,
+    node: Node<store::Client, exchange::Client>,
+    local: mpsc::Sender<Call>,
+    hosts: RwLock<Map<host::Name, (SocketAddr, HopClient<Channel>)>>,
+}
+
+impl Peers {
+    /// Returns the calls of the host `me`.
+    pub fn new(
+        me: host::Name,
+        node: Node<store::Client, exchange::Client>,
+        local: mpsc::Sender<Call>,
+    ) -> Self {
+        let hosts = RwLock::default();
+        Self {
+            inner: Arc::new(Inner {
+                me,
+                node,
+                local,
+                hosts,
+            }),
+        }
+    }
+
+    /// Follows the roster: connections to hosts that stay are kept.
+    pub fn apply(&self, config: &Config) {
+        let mut hosts = self
+            .inner
+            .hosts
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        hosts.retain(|name, (addr, _)| {
+            let listed = |h: &host::Host| h.name == *name && h.hop == *addr;
+            config.hosts.iter().any(listed)
+        });
+        for host in &config.hosts {
+            if host.name == self.inner.me || hosts.contains_key(&host.name) {
+                continue;
+            }
+            match client(host.hop) {
+                Ok(client) => {
+                    hosts.insert(host.name.clone(), (host.hop, client));
+                }
+                Err(error) => log::error!("address of host {} is not usable: {error}", host.name),
+            }
+        }
+    }
+
+    fn client(&self, host: &host::Name) -> Result<HopClient<Channel>> {
+        let hosts = self
+            .inner
+            .hosts
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        let client = hosts.get(host).map(|(_, client)| client.clone());
+        client.ok_or_else(|| Error::Connect { host: host.clone() })
+    }
+
+    /// Makes a call to the own host.
+    async fn local<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> Result<T> {
+        let host = &self.inner.me;
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.inner.local.send(call(sender)).await;
+        sent.map_err(|_| Error::Connect { host: host.clone() })?;
+        receiver.await.map_err(|_| Error::Broken {
+            host: host.clone(),
+            why: "the host is stopping".into(),
+        })
+    }
+}
+
+fn client(addr: SocketAddr) -> std::result::Result<HopClient<Channel>, tonic::transport::Error> {
+    let channel = Endpoint::from_shared(format!("http://{addr}"))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(KEEP_ALIVE)
+        .keep_alive_timeout(KEEP_ALIVE)
+        .connect_lazy();
+    Ok(HopClient::new(channel).max_decoding_message_size(REPLY_LIMIT))
+}
+
+/// Tells an unsent message from one that may have arrived.
+fn failure(host: &host::Name, status: &Status) -> Error {
+    let mut source = status.source();
+    while let Some(error) = source {
+        if error.is::<ConnectError>() {
+            return Error::Connect { host: host.clone() };
+        }
+        source = error.source();
+    }
+    Error::Broken {
+        host: host.clone(),
+        why: SmolStr::new(status.message()),
+    }
+}
+
+fn unreadable(host: &host::Name, error: &impl std::fmt::Display) -> Error {
+    Error::Broken {
+        host: host.clone(),
+        why: format_smolstr!("{error}"),
+    }
+}
+
+fn request<T>(message: T, timeout: Duration) -> tonic::Request<T> {
+    let mut request = tonic::Request::new(message);
+    request.set_timeout(timeout);
+    request
+}
+
+/// Waits for `call`, for at most `timeout`.
+async fn within<T>(
+    host: &host::Name,
+    timeout: Duration,
+    call: impl Future<Output = std::result::Result<tonic::Response<T>, Status>>,
+) -> Result<T> {
+    match tokio::time::timeout(timeout, call).await {
+        Ok(Ok(response)) => Ok(response.into_inner()),
+        Ok(Err(status)) => Err(failure(host, &status)),
+        Err(elapsed) => Err(unreadable(host, &elapsed)),
+    }
+}
+
+impl peer::Peers for Peers {
+    async fn subquery(
+        &self,
+        host: &host::Name,
+        message: Subquery,
+        timeout: Duration,
+    ) -> Result<Subreply> {
+        if *host == self.inner.me {
+            return self.local(|reply| Call::Subquery(message, reply)).await;
+        }
+        let mut client = self.client(host)?;
+        let call = client.search(request(message.into(), timeout));
+        let reply = within(host, timeout, call).await?;
+        Subreply::try_from(reply).map_err(|error| unreadable(host, &error))
+    }
+
+    async fn order(&self, host: &host::Name, message: Order, timeout: Duration) -> Result<Outcome> {
+        if *host == self.inner.me {
+            return self.local(|reply| Call::Order(message, reply)).await;
+        }
+        let mut client = self.client(host)?;
+        let call = client.submit(request(message.into(), timeout));
+        let outcome = within(host, timeout, call).await?;
+        Outcome::try_from(outcome).map_err(|error| unreadable(host, &error))
+    }
+
+    async fn outcome(&self, host: &host::Name, caller: &str, key: &str) -> Result<Option<Outcome>> {
+        let (caller, key) = (SmolStr::new(caller), SmolStr::new(key));
+        if *host == self.inner.me {
+            return self.local(|reply| Call::Recall(caller, key, reply)).await;
+        }
+        let mut client = self.client(host)?;
+        let message = Key {
+            caller: caller.into(),
+            key: key.into(),
+        };
+        let call = client.recall(request(message, CONNECT_TIMEOUT));
+        let recalled = within(host, CONNECT_TIMEOUT, call).await?;
+        let outcome = recalled.outcome.map(Outcome::try_from).transpose();
+        outcome.map_err(|error| unreadable(host, &error))
+    }
+
+    fn incarnation(&self, host: &host::Name) -> Option<host::Incarnation> {
+        self.inner.node.incarnation(host)
+    }
+
+    fn usable(&self, host: &host::Name) -> bool {
+        self.inner.node.usable(host)
+    }
+}
--- /dev/null
+++ b/crates/host/src/problem.rs
@@ -0,0 +1,118 @@
+//! Refusals as problem documents.
+
+use hyper::{Response, StatusCode, header};
+use rattanmast_model::outcome::{Outcome, Reason};
+use rattanmast_wire::{
+    api::{self, Problem},
+    http::{self, Whole},
+};
+use smol_str::SmolStr;
+
+/// A result of a filter.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Seconds after which a refused caller may try again.
+const RETRY_AFTER: &str = "1";
+
+/// Why a request is not answered, with an outcome that is true of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// What was wrong.
+    pub detail: SmolStr,
+    /// Whether it ran, and the remedy.
+    pub outcome: Outcome,
+}
+
+impl Refusal {
+    /// Returns a refusal of a request that no leaf has seen.
+    pub fn not_run(
+        status: StatusCode,
+        reason: Reason,
+        detail: impl Into<SmolStr>,
+        remedy: impl Into<SmolStr>,
+    ) -> Self {
+        Self {
+            status,
+            detail: detail.into(),
+            outcome: Outcome::NotRun {
+                reason,
+                remedy: remedy.into(),
+            },
+        }
+    }
+
+    /// Returns the refusal for an outcome that is no success.
+    pub fn of(outcome: Outcome) -> Self {
+        let (status, detail) = match &outcome {
+            Outcome::NotRun { reason, .. } => (status(*reason), detail(*reason)),
+            Outcome::Unknown { .. } => (StatusCode::GATEWAY_TIMEOUT, "it may have run"),
+            Outcome::Done { .. } | Outcome::AlreadyDone { .. } => (StatusCode::OK, "it ran"),
+        };
+        Self {
+            status,
+            detail: SmolStr::new_static(detail),
+            outcome,
+        }
+    }
+
+    /// Returns the answer to the caller.
+    pub fn response(self) -> Response<Whole> {
+        let remedy = match &self.outcome {
+            Outcome::NotRun { remedy, .. } | Outcome::Unknown { remedy } => remedy.clone(),
+            Outcome::Done { .. } | Outcome::AlreadyDone { .. } => SmolStr::default(),
+        };
+        let problem = Problem {
+            title: self.status.canonical_reason().unwrap_or("refused").into(),
+            status: self.status.as_u16(),
+            detail: self.detail,
+            remedy,
+            outcome: self.outcome,
+        };
+        let body = http::encode(&problem);
+        let mut response = http::typed(self.status, "application/problem+json", body);
+        mark(&mut response, problem.outcome.name());
+        if self.status == StatusCode::SERVICE_UNAVAILABLE {
+            let value = header::HeaderValue::from_static(RETRY_AFTER);
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+        response
+    }
+}
+
+/// Sets the outcome header.
+pub fn mark(response: &mut Response<Whole>, outcome: &'static str) {
+    let value = header::HeaderValue::from_static(outcome);
+    response.headers_mut().insert(api::OUTCOME, value);
+}
+
+const fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::Overload
+        | Reason::Unreachable
+        | Reason::Store
+        | Reason::Stopping
+        | Reason::Stale
+        | Reason::Refused => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::Late => StatusCode::GATEWAY_TIMEOUT,
+        Reason::Key => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::Denied => StatusCode::FORBIDDEN,
+        Reason::Invalid => StatusCode::BAD_REQUEST,
+    }
+}
+
+const fn detail(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Overload => "there is no room for work of this rank now",
+        Reason::Late => "the time left was too short",
+        Reason::Unreachable => "no leaf that could serve it is reachable",
+        Reason::Store => "the platform's store does not answer",
+        Reason::Stopping => "this host is stopping",
+        Reason::Stale => "this host cannot prove that its configuration is in force",
+        Reason::Key => "the idempotency key cannot be used",
+        Reason::Denied => "the caller has no right to it",
+        Reason::Invalid => "the request is malformed",
+        Reason::Refused => "the leaf refused it before it began",
+    }
+}
--- /dev/null
+++ b/crates/host/src/spans.rs
@@ -0,0 +1,269 @@
+//! Spans, one for each hop, with W3C trace context between them.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    Context, KeyValue,
+    trace::{
+        Span as _, SpanContext, SpanId, SpanKind, Status, TraceContextExt as _, TraceFlags,
+        TraceId, TraceState, Tracer as _, TracerProvider as _,
+    },
+};
+use opentelemetry_otlp::WithExportConfig as _;
+use opentelemetry_sdk::{
+    Resource,
+    error::OTelSdkResult,
+    trace::{SdkTracer, SdkTracerProvider, SpanData, SpanExporter},
+};
+use rattanmast_model::{
+    leaf::{self, Done, Found, Leaf, Order, Search},
+    request, trace,
+};
+use snafu::{ResultExt, Snafu};
+
+use crate::config::Traces;
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why spans cannot be exported.
+#[derive(Debug, Snafu)]
+#[snafu(display("--traces: exporter cannot be set up ({source}); check the address"))]
+pub struct Error {
+    source: opentelemetry_otlp::ExporterBuildError,
+}
+
+/// Starts spans.
+#[derive(Clone, Debug)]
+pub struct Tracer {
+    provider: Option<SdkTracerProvider>,
+    tracer: Option<SdkTracer>,
+}
+
+/// A span, ended when dropped.
+#[derive(Debug)]
+pub struct Span {
+    recorded: Option<opentelemetry_sdk::trace::Span>,
+    context: trace::Context,
+}
+
+/// Writes each span as one log line.
+#[derive(Debug)]
+struct Lines;
+
+impl SpanExporter for Lines {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        for span in batch {
+            let took = span.end_time.duration_since(span.start_time);
+            log::info!(
+                target: "trace",
+                "trace={} span={} parent={} name={} took_us={}",
+                span.span_context.trace_id(),
+                span.span_context.span_id(),
+                span.parent_span_id,
+                span.name,
+                took.unwrap_or(Duration::ZERO).as_micros(),
+            );
+        }
+        Ok(())
+    }
+}
+
+impl Tracer {
+    /// Returns a tracer of the host `name` that exports as `traces` says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the OTLP exporter cannot be set up.
+    pub fn new(name: &str, traces: &Traces) -> Result<Self> {
+        let builder = SdkTracerProvider::builder().with_resource(
+            Resource::builder()
+                .with_service_name("rattanmast-host")
+                .with_attribute(KeyValue::new("host.name", name.to_owned()))
+                .build(),
+        );
+        let provider = match traces {
+            Traces::Off => None,
+            Traces::Log => Some(builder.with_simple_exporter(Lines).build()),
+            Traces::Otlp(addr) => {
+                let exporter = opentelemetry_otlp::SpanExporter::builder()
+                    .with_tonic()
+                    .with_endpoint(format!("http://{addr}"))
+                    .build()
+                    .context(Snafu)?;
+                Some(builder.with_batch_exporter(exporter).build())
+            }
+        };
+        Ok(Self::of(provider))
+    }
+
+    /// Returns a tracer that records through `provider`, for tests with their own exporter.
+    pub fn of(provider: Option<SdkTracerProvider>) -> Self {
+        let tracer = provider.as_ref().map(|p| p.tracer("rattanmast"));
+        Self { provider, tracer }
+    }
+
+    /// Starts the span `name` under `parent`.
+    pub fn start(
+        &self,
+        name: &'static str,
+        kind: SpanKind,
+        parent: Option<trace::Context>,
+    ) -> Span {
+        let Some(tracer) = &self.tracer else {
+            return Span::unrecorded(parent);
+        };
+        let outer = parent.map_or_else(Context::new, |parent| {
+            Context::new().with_remote_span_context(remote(parent))
+        });
+        let builder = tracer.span_builder(name).with_kind(kind);
+        let recorded = builder.start_with_context(tracer, &outer);
+        let own = recorded.span_context();
+        let context = trace::Context {
+            trace: u128::from_be_bytes(own.trace_id().to_bytes()),
+            span: u64::from_be_bytes(own.span_id().to_bytes()),
+            sampled: own.is_sampled(),
+        };
+        Span {
+            recorded: Some(recorded),
+            context,
+        }
+    }
+
+    /// Exports what is left.
+    pub fn flush(&self) {
+        if let Some(Err(error)) = self.provider.as_ref().map(SdkTracerProvider::force_flush) {
+            log::warn!("last spans were not exported ({error}); check the collector");
+        }
+    }
+}
+
+fn remote(context: trace::Context) -> SpanContext {
+    let flags = match context.sampled {
+        true => TraceFlags::SAMPLED,
+        false => TraceFlags::default(),
+    };
+    SpanContext::new(
+        TraceId::from(context.trace),
+        SpanId::from(context.span),
+        flags,
+        true,
+        TraceState::default(),
+    )
+}
+
+impl Span {
+    fn unrecorded(parent: Option<trace::Context>) -> Self {
+        let context = parent.map_or_else(
+            || trace::Context {
+                trace: rand::random::<u128>().max(1),
+                span: rand::random::<u64>().max(1),
+                sampled: false,
+            },
+            |parent| parent.child(rand::random::<u64>().max(1)),
+        );
+        Self {
+            recorded: None,
+            context,
+        }
+    }
+
+    /// Returns the context for the next hop.
+    pub fn context(&self) -> trace::Context {
+        self.context
+    }
+
+    /// Notes a fact about the span.
+    pub fn note(&mut self, key: &'static str, value: impl Into<opentelemetry::Value>) {
+        if let Some(span) = &mut self.recorded {
+            span.set_attribute(KeyValue::new(key, value));
+        }
+    }
+
+    /// Marks the span as failed.
+    pub fn fail(&mut self, why: String) {
+        if let Some(span) = &mut self.recorded {
+            span.set_status(Status::error(why));
+        }
+    }
+}
+
+/// A connector whose requests to leafs have a span each.
+#[derive(Clone, Debug)]
+pub struct Connector<C> {
+    inner: C,
+    tracer: Tracer,
+}
+
+impl<C> Connector<C> {
+    /// Returns `inner` with spans.
+    pub fn new(inner: C, tracer: Tracer) -> Self {
+        Self { inner, tracer }
+    }
+}
+
+/// A link whose requests have a span each.
+#[derive(Debug)]
+pub struct Link<L> {
+    inner: L,
+    tracer: Tracer,
+    leaf: leaf::Name,
+}
+
+impl<C: leaf::Connector> leaf::Connector for Connector<C> {
+    type Link = Link<C::Link>;
+
+    async fn open(&self, leaf: &Leaf) -> leaf::Result<Self::Link> {
+        Ok(Link {
+            inner: self.inner.open(leaf).await?,
+            tracer: self.tracer.clone(),
+            leaf: leaf.name.clone(),
+        })
+    }
+}
+
+impl<L> Link<L> {
+    fn start(&self, name: &'static str, parent: Option<trace::Context>) -> Span {
+        let mut span = self.tracer.start(name, SpanKind::Client, parent);
+        span.note("leaf", self.leaf.to_string());
+        span
+    }
+}
+
+fn end<T>(mut span: Span, result: &leaf::Result<T>) {
+    if let Err(error) = result {
+        span.fail(error.to_string());
+    }
+}
+
+impl<L: leaf::Link> leaf::Link for Link<L> {
+    async fn search(&mut self, search: &Search) -> leaf::Result<Found> {
+        let span = self.start("leaf search", search.trace);
+        let traced = Search {
+            trace: Some(span.context()),
+            ..search.clone()
+        };
+        let result = self.inner.search(&traced).await;
+        end(span, &result);
+        result
+    }
+
+    async fn order(&mut self, order: &Order) -> leaf::Result<Done> {
+        let span = self.start("leaf order", order.trace);
+        let traced = Order {
+            trace: Some(span.context()),
+            ..order.clone()
+        };
+        let result = self.inner.order(&traced).await;
+        end(span, &result);
+        result
+    }
+
+    async fn cancel(&mut self, id: request::Id) -> leaf::Result<()> {
+        self.inner.cancel(id).await
+    }
+
+    async fn close(self, wait: Duration) -> bool {
+        self.inner.close(wait).await
+    }
+}
