--- /dev/null
+++ b/crates/dispatch/src/attempt.rs
@@ -0,0 +1,226 @@
+//! One search at one leaf.
+
+use std::{pin::Pin, sync::Arc, time::Duration};
+
+use rattanmast_model::{
+    leaf::{self, Connector, Link, Search},
+    request,
+};
+use smol_str::SmolStr;
+use tokio::{sync::oneshot, time::Instant};
+
+use crate::{
+    lease::{After, Lease, Showed},
+    policy::Policy,
+    service::Service,
+};
+
+/// How a search at a leaf ended.
+#[derive(Debug)]
+pub(crate) enum End {
+    /// A reply that matches the request.
+    Found(leaf::Found),
+    /// An error, or a reply that does not match.
+    Failed(leaf::Error),
+    /// The connection was silent, or the leaf far too slow; the search was given up.
+    GivenUp,
+}
+
+/// A search that runs at a leaf in a task of its own; dropping this cancels it at the leaf.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    /// The position of the leaf in its service.
+    pub(crate) replica: usize,
+    /// When the search was sent.
+    pub(crate) sent: Instant,
+    pub(crate) end: oneshot::Receiver<End>,
+}
+
+impl Attempt {
+    /// Sends `search` to the leaf of `lease`.
+    pub(crate) fn start<C: Connector, P: Policy>(lease: Lease<C, P>, search: Search) -> Self {
+        let (tx, end) = oneshot::channel();
+        let replica = lease.replica;
+        tokio::spawn(run(lease, search, tx));
+        Self {
+            replica,
+            sent: Instant::now(),
+            end,
+        }
+    }
+}
+
+/// A leaf of a service.
+struct Place<C: Connector, P: Policy> {
+    service: Arc<Service<C, P>>,
+    replica: usize,
+}
+
+/// Why the wait for a leaf's answer ended.
+enum Stop {
+    Answer(leaf::Result<leaf::Found>),
+    /// The answer after a cancellation.
+    Cancelled(leaf::Result<leaf::Found>),
+    Silent,
+    /// The search is given up by closing its connection.
+    Close,
+}
+
+async fn run<C: Connector, P: Policy>(
+    mut lease: Lease<C, P>,
+    search: Search,
+    mut tx: oneshot::Sender<End>,
+) {
+    let Some(mut link) = lease.send() else { return };
+    let deadline = Instant::now() + Duration::from_millis(search.budget_ms.into());
+    let place = Place {
+        service: Arc::clone(&lease.service),
+        replica: lease.replica,
+    };
+    let stop = wait(&place, &mut link, &search, &mut tx).await;
+    let (after, showed, end) = match stop {
+        Stop::Answer(answer) => judge(&lease, link, answer, &search, deadline),
+        Stop::Cancelled(Err(leaf::Error::Failed { .. })) => {
+            (After::Keep(link), Showed::Nothing, End::GivenUp)
+        }
+        Stop::Cancelled(answer) => judge(&lease, link, answer, &search, deadline),
+        Stop::Silent => (After::Silent(link), Showed::Nothing, End::GivenUp),
+        Stop::Close => (After::Close(link), Showed::Nothing, End::GivenUp),
+    };
+    lease.settle(after, showed);
+    // The caller may have gone; then the reply is late and is dropped.
+    let _gone = tx.send(end);
+}
+
+async fn wait<C: Connector, P: Policy>(
+    place: &Place<C, P>,
+    link: &mut C::Link,
+    search: &Search,
+    tx: &mut oneshot::Sender<End>,
+) -> Stop {
+    let sent = Instant::now();
+    let call = link.search(search);
+    tokio::pin!(call);
+    loop {
+        let check = Instant::now() + place.service.patience(place.replica);
+        tokio::select! {
+            biased;
+            answer = &mut call => return Stop::Answer(answer),
+            () = tx.closed() => {
+                place.service.shared.counters.cancelled.add(1);
+                return match halt(place, search.id, call.as_mut(), false).await {
+                    Halt::Answer(answer) => Stop::Cancelled(answer),
+                    Halt::Silent => Stop::Silent,
+                    Halt::Unanswered => Stop::Close,
+                };
+            }
+            () = tokio::time::sleep_until(check) => {}
+        }
+        if place.service.is_overdue() {
+            return Stop::Close;
+        }
+        match halt(place, search.id, call.as_mut(), true).await {
+            Halt::Answer(answer) => return Stop::Cancelled(answer),
+            Halt::Silent => return Stop::Silent,
+            Halt::Unanswered => {}
+        }
+        let progressed = place.service.lock().replicas[place.replica].progressed(sent);
+        if progressed {
+            return Stop::Silent;
+        }
+    }
+}
+
+/// What a cancellation at the leaf brought about.
+enum Halt {
+    /// The search ended.
+    Answer(leaf::Result<leaf::Found>),
+    /// The leaf answered the cancellation, but not the search.
+    Silent,
+    /// No other connection was to be had, or the leaf did not answer on it either.
+    Unanswered,
+}
+
+/// Cancels the search at the leaf on another connection, and waits for its end.
+async fn halt<C: Connector, P: Policy, F>(
+    place: &Place<C, P>,
+    id: request::Id,
+    mut call: Pin<&mut F>,
+    open: bool,
+) -> Halt
+where
+    F: Future<Output = leaf::Result<leaf::Found>>,
+{
+    let (service, replica) = (&place.service, place.replica);
+    loop {
+        let spare = tokio::select! {
+            biased;
+            answer = &mut call => return Halt::Answer(answer),
+            spare = service.spare(replica, open) => spare,
+        };
+        let Some(spare) = spare else {
+            return Halt::Unanswered;
+        };
+        let answered = tokio::select! {
+            biased;
+            answer = &mut call => return Halt::Answer(answer),
+            answered = service.cancel(replica, spare, id) => answered.unwrap_or(false),
+        };
+        if !answered {
+            continue;
+        }
+        return match tokio::time::timeout(service.grace(replica), &mut call).await {
+            Ok(answer) => Halt::Answer(answer),
+            Err(_) => Halt::Silent,
+        };
+    }
+}
+
+/// Checks an answer against its request, and what it shows of the leaf.
+fn judge<C: Connector, P: Policy>(
+    lease: &Lease<C, P>,
+    link: C::Link,
+    answer: leaf::Result<leaf::Found>,
+    search: &Search,
+    deadline: Instant,
+) -> (After<C::Link>, Showed, End) {
+    let error = match answer {
+        Ok(found) if found.id == search.id && found.snapshot == search.snapshot => {
+            let showed = Showed::Reply(found.load);
+            return (After::Keep(link), showed, End::Found(found));
+        }
+        Ok(_) => {
+            lease.service.shared.counters.mismatches.add(1);
+            let why = SmolStr::new_static("the reply does not match the request");
+            let error = leaf::Error::Failed { why };
+            return (After::Close(link), Showed::Failure, End::Failed(error));
+        }
+        Err(error) => error,
+    };
+    let (after, showed) = shown(&error, link);
+    // The leaf gave up at the deadline, which is no failure of its own.
+    let showed = match &error {
+        leaf::Error::Failed { .. } if Instant::now() >= deadline => Showed::Nothing,
+        _ => showed,
+    };
+    (after, showed, End::Failed(error))
+}
+
+/// Returns what an error shows of the connection and the leaf.
+pub(crate) fn shown<L>(error: &leaf::Error, link: L) -> (After<L>, Showed) {
+    match error {
+        leaf::Error::Shed { load } => (After::Keep(link), Showed::Shed(*load)),
+        leaf::Error::Leaving { load } => {
+            let draining = true;
+            let load = leaf::Load { draining, ..*load };
+            (After::Keep(link), Showed::Refused(load))
+        }
+        leaf::Error::Gone { load, .. } | leaf::Error::Expired { load } => {
+            (After::Keep(link), Showed::Refused(*load))
+        }
+        leaf::Error::Failed { .. } => (After::Keep(link), Showed::Failure),
+        leaf::Error::Broken { .. } | leaf::Error::Connect { .. } | leaf::Error::Full => {
+            (After::Ended(link), Showed::Failure)
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/choice.rs
@@ -0,0 +1,84 @@
+//! Which replica gets a request.
+
+use rand::{Rng as _, rngs::SmallRng};
+
+/// A replica that could take a request now.
+#[derive(Clone, Copy, Debug)]
+pub struct View {
+    /// The replica's position in its service.
+    pub index: usize,
+    /// Requests that it has from this host.
+    pub in_flight: u32,
+    /// Requests that it may have.
+    pub limit: u32,
+    /// Its expected latency, in seconds.
+    pub latency: f64,
+    /// The share of its recent replies that were not failures, from 0 to 1.
+    pub success: f64,
+}
+
+/// Chooses replicas.
+pub trait Choice: Send + 'static {
+    /// Returns the rule for one service.
+    fn new() -> Self;
+    /// Returns the position of one of `views`.
+    fn choose(
+        &mut self,
+        rng: &mut SmallRng,
+        views: impl Iterator<Item = View> + Clone,
+    ) -> Option<usize>;
+}
+
+/// The replica with the least expected latency, given its queue and its failures.
+#[derive(Debug)]
+pub struct Learned;
+
+impl Learned {
+    /// Returns the expected time to a good reply, slightly varied so that equals take turns.
+    fn score(view: &View, rng: &mut SmallRng) -> f64 {
+        let load = f64::from(view.in_flight) / f64::from(view.limit.max(1));
+        // A failure costs another try, so a fast failure must not look like a fast reply.
+        let success = view.success.max(0.01);
+        view.latency * (1.0 + load) / (success * success) * rng.random_range(0.95..1.05)
+    }
+}
+
+impl Choice for Learned {
+    fn new() -> Self {
+        Self
+    }
+
+    fn choose(
+        &mut self,
+        rng: &mut SmallRng,
+        views: impl Iterator<Item = View> + Clone,
+    ) -> Option<usize> {
+        let scored = views.map(|v| (Self::score(&v, rng), v.index));
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, index)| index)
+    }
+}
+
+/// Any replica.
+#[derive(Debug)]
+pub struct Random;
+
+impl Choice for Random {
+    fn new() -> Self {
+        Self
+    }
+
+    fn choose(
+        &mut self,
+        rng: &mut SmallRng,
+        mut views: impl Iterator<Item = View> + Clone,
+    ) -> Option<usize> {
+        let count = views.clone().count();
+        let chosen = if count < 2 {
+            0
+        } else {
+            rng.random_range(0..count)
+        };
+        views.nth(chosen).map(|v| v.index)
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,66 +2,70 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
+use futures::{StreamExt as _, stream::FuturesUnordered};
 use rattanmast_model::{
-    catalog::{Leafs, Service},
-    config::Config,
-    hash::{Map, Set},
+    catalog::Leafs,
+    config::{Config, Priority},
+    hash::{self, Map},
     host,
-    leaf::{self, Connector, Link},
+    leaf::{self, Connector},
     outcome::{Outcome, Reason},
-    peer::{self, Cause, Miss, Report, Subquery, Subreply},
-    request, roster,
+    peer::{self, Ask, Cause, Miss, Report, Step, Subquery, Subreply},
+    rank::Rank,
+    request,
 };
 use smol_str::SmolStr;
 use tokio::{
-    sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot},
+    sync::{Notify, oneshot},
     time::Instant,
 };
 
-use crate::{Settings, Stats};
-
-/// Locks `mutex`; a panic elsewhere does not make its value unusable.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
+use crate::{
+    Settings, Stats,
+    assignment::{self, Assignment},
+    orders::{self, not_run, unknown},
+    policy::{Adaptive, Plain, Policy},
+    progress::Progress,
+    search::{Asked, Search},
+    seen::Seen,
+    service::{Service, Shared},
+    state::Role,
+    stats::Counters,
+};
 
-/// One leaf and the connections to it.
-struct Replica<L> {
-    leaf: leaf::Leaf,
-    gate: Arc<Semaphore>,
-    idle: Mutex<Vec<L>>,
-    busy: AtomicUsize,
-    leaving: AtomicBool,
-}
+/// Interval at which failed leafs are retried and unused connections closed.
+const TICK: Duration = Duration::from_millis(100);
 
-type Replicas<L> = Vec<Arc<Replica<L>>>;
+/// The services of one collection, by their number.
+type Collection<C, P> = Map<u16, Arc<Service<C, P>>>;
 
-struct Inner<C: Connector> {
+struct Inner<C: Connector, P: Policy> {
     me: host::Name,
     incarnation: host::Incarnation,
-    connector: C,
-    settings: Settings,
-    ids: request::Sequence,
-    serving: AtomicBool,
-    replicas: RwLock<Map<Service, Replicas<C::Link>>>,
-    seen: Mutex<Set<request::Id>>,
-    sent: AtomicU64,
+    seed: u64,
+    shared: Arc<Shared<C>>,
+    services: RwLock<Arc<Map<SmolStr, Collection<C, P>>>>,
+    assignment: Mutex<Assignment>,
+    seen: Mutex<Seen>,
+    ticking: AtomicBool,
     in_hand: AtomicUsize,
     idle: Notify,
 }
 
 /// Decides about access to the leafs of the services that one host dispatches for.
-pub struct Dispatcher<C: Connector> {
-    inner: Arc<Inner<C>>,
+///
+/// Its methods need a tokio runtime. Clones are handles to the same dispatcher.
+pub struct Dispatcher<C: Connector, P: Policy = Adaptive> {
+    inner: Arc<Inner<C, P>>,
 }
 
-impl<C: Connector> Clone for Dispatcher<C> {
+impl<C: Connector, P: Policy> Clone for Dispatcher<C, P> {
     fn clone(&self) -> Self {
         Self {
             inner: Arc::clone(&self.inner),
@@ -70,16 +74,16 @@
 }
 
 /// Counts a message that is in hand until it is dropped.
-struct Hand<C: Connector>(Arc<Inner<C>>);
+struct Hand<C: Connector, P: Policy>(Arc<Inner<C, P>>);
 
-impl<C: Connector> Hand<C> {
-    fn new(inner: &Arc<Inner<C>>) -> Self {
+impl<C: Connector, P: Policy> Hand<C, P> {
+    fn new(inner: &Arc<Inner<C, P>>) -> Self {
         inner.in_hand.fetch_add(1, Ordering::SeqCst);
         Self(Arc::clone(inner))
     }
 }
 
-impl<C: Connector> Drop for Hand<C> {
+impl<C: Connector, P: Policy> Drop for Hand<C, P> {
     fn drop(&mut self) {
         if self.0.in_hand.fetch_sub(1, Ordering::SeqCst) == 1 {
             self.0.idle.notify_waiters();
@@ -87,53 +91,60 @@
     }
 }
 
-/// The right to one request at a replica.
-struct Permit<L> {
-    replica: Arc<Replica<L>>,
-    _gate: OwnedSemaphorePermit,
-}
-
-impl<L> Drop for Permit<L> {
-    fn drop(&mut self) {
-        self.replica.busy.fetch_sub(1, Ordering::Relaxed);
+impl<C: Connector> Dispatcher<C> {
+    /// Returns the dispatcher of the process run `incarnation` of host `me`.
+    ///
+    /// All random choices follow from `seed`.
+    pub fn new(
+        me: host::Name,
+        incarnation: host::Incarnation,
+        connector: C,
+        settings: Settings,
+        seed: u64,
+    ) -> Self {
+        Self::with_policy(me, incarnation, connector, settings, seed)
     }
 }
 
-fn not_run(reason: Reason, remedy: &str) -> Outcome {
-    Outcome::NotRun {
-        reason,
-        remedy: SmolStr::new(remedy),
+impl<C: Connector> Dispatcher<C, Plain> {
+    /// Returns a dispatcher with the plain baseline of each decision, for measurements.
+    pub fn baseline(
+        me: host::Name,
+        incarnation: host::Incarnation,
+        connector: C,
+        settings: Settings,
+        seed: u64,
+    ) -> Self {
+        Self::with_policy(me, incarnation, connector, settings, seed)
     }
 }
 
-fn wall_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
-impl<C: Connector> Dispatcher<C> {
-    /// Returns the dispatcher of the process run `incarnation` of host `me`.
-    pub fn new(
+impl<C: Connector, P: Policy> Dispatcher<C, P> {
+    /// Returns a dispatcher that decides by `P`.
+    pub fn with_policy(
         me: host::Name,
         incarnation: host::Incarnation,
         connector: C,
         settings: Settings,
-        _seed: u64,
+        seed: u64,
     ) -> Self {
-        let ids = request::Sequence::new(&me, incarnation);
+        let shared = Shared {
+            connector,
+            settings,
+            counters: Counters::default(),
+            ids: request::Sequence::new(&me, incarnation),
+            serving: AtomicBool::new(true),
+        };
         Self {
             inner: Arc::new(Inner {
                 me,
                 incarnation,
-                connector,
-                settings,
-                ids,
-                serving: AtomicBool::new(true),
-                replicas: RwLock::default(),
+                seed,
+                shared: Arc::new(shared),
+                services: RwLock::default(),
+                assignment: Mutex::default(),
                 seen: Mutex::default(),
-                sent: AtomicU64::new(0),
+                ticking: AtomicBool::new(false),
                 in_hand: AtomicUsize::new(0),
                 idle: Notify::new(),
             }),
@@ -142,57 +153,19 @@
 
     /// Puts a new configuration or list of leafs in force.
     pub fn apply(&self, config: Arc<Config>, leafs: Arc<Leafs>) {
-        let mut replicas = self
-            .inner
-            .replicas
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        let mut old: Map<SmolStr, Arc<Replica<C::Link>>> = replicas
-            .drain()
-            .flat_map(|(_, v)| v)
-            .map(|r| (r.leaf.name.clone(), r))
-            .collect();
-        for leaf in &leafs.leafs {
-            let mine = roster::dispatchers(&config.hosts, &leaf.service)
-                .iter()
-                .any(|h| h.name == self.inner.me);
-            let limits = config
-                .collection(&leaf.service.collection)
-                .map(|c| c.limits)
-                .filter(|_| mine && leaf.state == host::State::Live);
-            let Some(limits) = limits else { continue };
-            let share = roster::share(config.hosts.len(), limits.connections);
-            let width = usize::try_from(share.min(limits.slots)).unwrap_or(1);
-            let replica = old
-                .remove(&leaf.name)
-                .filter(|r| r.leaf == *leaf)
-                .unwrap_or_else(|| {
-                    Arc::new(Replica {
-                        leaf: leaf.clone(),
-                        gate: Arc::new(Semaphore::new(width)),
-                        idle: Mutex::default(),
-                        busy: AtomicUsize::new(0),
-                        leaving: AtomicBool::new(false),
-                    })
-                });
-            replicas
-                .entry(leaf.service.clone())
-                .or_default()
-                .push(replica);
+        self.inner.apply(&config, &leafs);
+        if !self.inner.ticking.swap(true, Ordering::SeqCst) {
+            tokio::spawn(tick(Arc::downgrade(&self.inner)));
         }
     }
 
     /// Serves a sub-query. Dropping the future cancels its work at the leafs.
     pub async fn subquery(&self, message: Subquery) -> Subreply {
         let _hand = Hand::new(&self.inner);
-        let start = Instant::now();
+        let now = Instant::now();
         let budget = Duration::from_millis(message.budget_ms.into());
-        let deadline = start + budget.saturating_sub(self.inner.settings.margin);
-        let asks = message
-            .asks
-            .iter()
-            .map(|ask| self.inner.ask(&message, ask, deadline));
-        let results = futures::future::join_all(asks).await;
+        let deadline = now + budget.saturating_sub(self.inner.shared.settings.margin);
+        let services = self.inner.services(&message);
         let mut reply = Subreply {
             id: message.id,
             incarnation: self.inner.incarnation,
@@ -201,255 +174,302 @@
             misses: Vec::new(),
             begun: false,
             sent: 0,
-            leaf_us: u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX),
+            leaf_us: 0,
             report: Report::default(),
         };
-        for (ask, (result, sent, begun)) in message.asks.iter().zip(results) {
-            reply.sent += sent;
-            reply.begun |= begun;
-            match result {
-                Ok(parts) => reply.parts.extend(parts),
-                Err(cause) => reply.misses.push(Miss {
-                    service: ask.service,
-                    cause,
-                }),
+        if self.inner.refuses(&message, &services, deadline, now) {
+            let overload = |ask: &Ask| Miss {
+                service: ask.service,
+                cause: Cause::Overload,
+            };
+            reply.misses = message.asks.iter().map(overload).collect();
+        } else {
+            let progress = Progress::default();
+            let mut searches: FuturesUnordered<_> = (message.asks.iter().zip(&services))
+                .map(|(ask, service)| search(service.as_ref(), &message, ask, deadline, &progress))
+                .collect();
+            while let Some((service, asked)) = searches.next().await {
+                let us = u64::try_from(now.elapsed().as_micros()).unwrap_or(u64::MAX);
+                reply.leaf_us = reply.leaf_us.max(us);
+                reply.sent += asked.sent;
+                reply.begun |= asked.begun;
+                reply.parts.extend(asked.parts);
+                reply
+                    .misses
+                    .extend(asked.miss.map(|cause| Miss { service, cause }));
             }
         }
+        reply.report = report(services.iter().flatten());
         reply
     }
 
     /// Sends an order to one leaf of its collection, once.
+    ///
+    /// If the future is dropped after the order was sent, the order still runs to its end.
     pub async fn order(&self, message: peer::Order) -> Outcome {
-        let (tx, rx) = oneshot::channel();
-        let inner = Arc::clone(&self.inner);
+        let (service, deadline) = match self.inner.admit(&message) {
+            Ok(admitted) => admitted,
+            Err(outcome) => return outcome,
+        };
         let hand = Hand::new(&self.inner);
-        // The task goes on if the caller gives up: an order that was sent runs to its end.
+        let (tx, outcome) = oneshot::channel();
         tokio::spawn(async move {
             let _hand = hand;
-            let outcome = inner.order(message).await;
-            // The caller may have gone.
-            let _gone = tx.send(outcome);
+            orders::run(service, message, deadline, tx).await;
         });
-        rx.await.unwrap_or_else(|_| Outcome::Unknown {
-            remedy: SmolStr::new_static("the dispatcher lost the order; look it up by its key"),
-        })
+        outcome.await.unwrap_or_else(|_| unknown())
     }
 
     /// Takes peers' word that `leafs` are leaving.
     pub fn leaving(&self, leafs: &[leaf::Name]) {
-        self.inner.each(|r| {
-            if leafs.contains(&r.leaf.name) {
-                r.leaving.store(true, Ordering::Relaxed);
+        if leafs.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        self.inner.each(|service| {
+            let mut told = false;
+            for replica in &mut service.lock().replicas {
+                if leafs.contains(&replica.leaf.name) {
+                    replica.leaving.tell(now);
+                    told = true;
+                }
+            }
+            if told {
+                service.pump();
             }
         });
     }
 
-    /// Returns the leafs that this host knows to be leaving.
+    /// Returns the leafs that showed this host that they are leaving.
     pub fn left(&self) -> Vec<leaf::Name> {
         let mut left = Vec::new();
-        self.inner.each(|r| {
-            if r.leaving.load(Ordering::Relaxed) {
-                left.push(r.leaf.name.clone());
-            }
-        });
+        self.inner.each(|service| left.extend(shown(service)));
         left
     }
 
     /// Allows or forbids sending new work to leafs.
+    ///
+    /// While it is forbidden, what waits is refused and connections are closed.
     pub fn serve(&self, allowed: bool) {
-        self.inner.serving.store(allowed, Ordering::SeqCst);
+        let before = self.inner.shared.serving.swap(allowed, Ordering::SeqCst);
+        if before != allowed {
+            self.inner.each(Service::pump);
+        }
     }
 
     /// Returns what the host tells others of its queues.
     pub fn report(&self) -> Report {
-        Report {
-            waits: Vec::new(),
-            leaving: self.left(),
-        }
+        let services = self.inner.snapshot();
+        report(services.values().flat_map(Map::values))
     }
 
     /// Returns the counters.
     pub fn stats(&self) -> Stats {
-        Stats {
-            sent: self.inner.sent.load(Ordering::Relaxed),
-            ..Stats::default()
-        }
+        let mut stats = self.inner.shared.counters.stats();
+        let now = Instant::now();
+        self.inner.each(|service| {
+            let state = service.lock();
+            for replica in &state.replicas {
+                stats.open_connections += u64::from(replica.pool.counted());
+                stats.in_flight += u64::from(replica.in_flight);
+            }
+            let (queued, waits) = (state.queue.lengths(), state.waits(now));
+            for rank in Rank::ALL.map(Rank::index) {
+                let us = u64::from(micros(waits[rank]));
+                stats.queued[rank] += u64::from(queued[rank]);
+                stats.waits_us[rank] = stats.waits_us[rank].max(us);
+            }
+        });
+        stats
     }
 
     /// Waits until no message is in hand.
     pub async fn drain(&self) {
         loop {
-            let notified = self.inner.idle.notified();
+            let idle = self.inner.idle.notified();
+            tokio::pin!(idle);
+            // Registered before the check, so that no notice is missed.
+            idle.as_mut().enable();
             if self.inner.in_hand.load(Ordering::SeqCst) == 0 {
                 return;
             }
-            notified.await;
+            idle.await;
         }
     }
 }
 
-/// What became of one ask: parts or cause, requests sent, whether a leaf may have begun.
-type Asked = (Result<Vec<leaf::Part>, Cause>, u32, bool);
-
-impl<C: Connector> Inner<C> {
-    fn each(&self, mut visit: impl FnMut(&Replica<C::Link>)) {
-        let replicas = self.replicas.read().unwrap_or_else(PoisonError::into_inner);
-        for replica in replicas.values().flatten() {
-            visit(replica);
-        }
+impl<C: Connector, P: Policy> Inner<C, P> {
+    fn snapshot(&self) -> Arc<Map<SmolStr, Collection<C, P>>> {
+        let services = self.services.read();
+        Arc::clone(&services.unwrap_or_else(PoisonError::into_inner))
     }
 
-    async fn permit(&self, service: &Service) -> Result<Permit<C::Link>, Cause> {
-        let replica = {
-            let replicas = self.replicas.read().unwrap_or_else(PoisonError::into_inner);
-            let replicas = replicas.get(service).ok_or(Cause::Elsewhere)?;
-            let live = replicas
-                .iter()
-                .filter(|r| !r.leaving.load(Ordering::Relaxed));
-            let replica = live
-                .min_by_key(|r| r.busy.load(Ordering::Relaxed))
-                .ok_or(Cause::Unreachable)?;
-            replica.busy.fetch_add(1, Ordering::Relaxed);
-            Arc::clone(replica)
-        };
-        let gate = Arc::clone(&replica.gate).acquire_owned().await;
-        match gate {
-            Ok(gate) if self.serving.load(Ordering::SeqCst) => Ok(Permit {
-                replica,
-                _gate: gate,
-            }),
-            _ => {
-                replica.busy.fetch_sub(1, Ordering::Relaxed);
-                Err(Cause::Elsewhere)
-            }
-        }
+    fn each(&self, mut visit: impl FnMut(&Arc<Service<C, P>>)) {
+        let services = self.snapshot();
+        services.values().flat_map(Map::values).for_each(&mut visit);
     }
 
-    async fn link(&self, replica: &Replica<C::Link>) -> leaf::Result<C::Link> {
-        let idle = lock(&replica.idle).pop();
-        match idle {
-            Some(link) => Ok(link),
-            None => self.connector.open(&replica.leaf).await,
+    fn apply(&self, config: &Arc<Config>, leafs: &Leafs) {
+        let mut assignment = lock(&self.assignment);
+        assignment.apply(config);
+        let mut services = Map::clone(&self.snapshot());
+        let mut listed = assignment::by_service(leafs);
+        let settings = &self.shared.settings;
+        // Services that are no longer listed keep counting their connections.
+        for service in services.values().flat_map(Map::values) {
+            let role = assignment.role(&self.me, &service.name, settings);
+            let leafs = listed.remove(&service.name);
+            let gone = Role {
+                position: None,
+                ..service.lock().role
+            };
+            service.apply(role.unwrap_or(gone), &leafs.unwrap_or_default());
         }
+        for (name, leafs) in listed {
+            let role = assignment.role(&self.me, name, settings);
+            let Some(role) = role.filter(|r| r.position.is_some()) else {
+                continue;
+            };
+            let seed = hash::stable([
+                name.collection.as_bytes(),
+                &name.index.to_le_bytes(),
+                &self.seed.to_le_bytes(),
+            ]);
+            let service = Service::new(name.clone(), Arc::clone(&self.shared), role, seed);
+            let service = Arc::new(service);
+            service.apply(role, &leafs);
+            let collection = services.entry(name.collection.clone()).or_default();
+            collection.insert(name.index, service);
+        }
+        for collection in services.values_mut() {
+            collection.retain(|_, service| !service.is_vacant());
+        }
+        *self
+            .services
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(services);
     }
 
-    async fn ask(&self, message: &Subquery, ask: &peer::Ask, deadline: Instant) -> Asked {
-        let (mut sent, mut begun) = (0, false);
-        let work = self.search(message, ask, deadline, &mut sent, &mut begun);
-        let result = match tokio::time::timeout_at(deadline, work).await {
-            Ok(result) => result,
-            Err(_) => Err(Cause::Late),
-        };
-        (result, sent, begun)
+    fn services(&self, message: &Subquery) -> Vec<Option<Arc<Service<C, P>>>> {
+        let services = self.snapshot();
+        let collection = services.get(&message.collection);
+        let service = |ask: &Ask| collection.and_then(|c| c.get(&ask.service)).cloned();
+        message.asks.iter().map(service).collect()
     }
 
-    async fn search(
+    /// Tells whether the whole message is refused because one service could not be in time.
+    ///
+    /// Where coverage goes first, the other parts would be work for nothing.
+    fn refuses(
         &self,
         message: &Subquery,
-        ask: &peer::Ask,
+        services: &[Option<Arc<Service<C, P>>>],
         deadline: Instant,
-        sent: &mut u32,
-        begun: &mut bool,
-    ) -> Result<Vec<leaf::Part>, Cause> {
-        let service = Service {
-            collection: message.collection.clone(),
-            index: ask.service,
-        };
-        let permit = self.permit(&service).await?;
-        let replica = &permit.replica;
-        let Ok(mut link) = self.link(replica).await else {
-            return Err(Cause::Unreachable);
+        now: Instant,
+    ) -> bool {
+        let overloaded = |s: &Arc<Service<C, P>>| {
+            s.lock().check(message.rank, deadline, now, &self.shared) == Err(Cause::Overload)
         };
-        let left = deadline.saturating_duration_since(Instant::now());
-        let search = leaf::Search {
-            id: self.ids.next(),
-            collection: message.collection.clone(),
-            snapshot: message.snapshot,
-            ranges: ask.ranges.clone(),
-            text: message.text.clone(),
-            rank: message.rank,
-            budget_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-            trace: message.trace,
-        };
-        self.sent.fetch_add(1, Ordering::Relaxed);
-        *sent += 1;
-        *begun = true;
-        match link.search(&search).await {
-            Ok(found) if found.id == search.id && found.snapshot == search.snapshot => {
-                if found.load.draining {
-                    replica.leaving.store(true, Ordering::Relaxed);
-                }
-                lock(&replica.idle).push(link);
-                Ok(found.parts)
-            }
-            Ok(_) => Err(Cause::Unreachable),
-            Err(error) => {
-                *begun = !error.not_begun();
-                if error.load().is_some() {
-                    lock(&replica.idle).push(link);
-                }
-                Err(match error {
-                    leaf::Error::Gone { holds, .. } => Cause::Gone(holds),
-                    leaf::Error::Shed { .. } => Cause::Overload,
-                    leaf::Error::Expired { .. } => Cause::Late,
-                    _ => Cause::Unreachable,
-                })
-            }
-        }
+        message.priority == Priority::Coverage
+            && services.len() > 1
+            && services.iter().flatten().any(overloaded)
     }
 
-    async fn order(&self, message: peer::Order) -> Outcome {
-        if message.target != self.incarnation || !lock(&self.seen).insert(message.id) {
-            return not_run(Reason::Refused, "the message is not for this process run");
+    /// Checks an order, and chooses the service that takes it.
+    fn admit(&self, message: &peer::Order) -> Result<(Arc<Service<C, P>>, Instant), Outcome> {
+        if message.target != self.incarnation {
+            let remedy = "the order was sent to an earlier run of the host; try again";
+            return Err(not_run(Reason::Refused, remedy));
         }
-        let service = {
-            let replicas = self.replicas.read().unwrap_or_else(PoisonError::into_inner);
-            let mut services = replicas.keys();
-            services
-                .find(|s| s.collection == message.collection)
-                .cloned()
-        };
-        let Some(service) = service else {
-            return not_run(
-                Reason::Unreachable,
-                "the host dispatches to no such collection",
-            );
-        };
-        let budget = Duration::from_millis(message.budget_ms.into());
-        let permit = tokio::time::timeout(budget, self.permit(&service)).await;
-        let Ok(Ok(permit)) = permit else {
-            return not_run(Reason::Overload, "no leaf was free in time; try again");
-        };
-        let Ok(mut link) = self.link(&permit.replica).await else {
-            return not_run(Reason::Unreachable, "no leaf is reachable; try again");
-        };
-        let order = leaf::Order {
-            id: self.ids.next(),
-            key: message.key,
-            collection: message.collection,
-            action: message.action,
-            record: message.record,
-            rank: message.rank,
-            not_after_ms: message.not_after_ms,
-            trace: message.trace,
-        };
-        if !self.serving.load(Ordering::SeqCst) || wall_ms() > order.not_after_ms {
-            return not_run(Reason::Late, "the claim expired before the send; try again");
+        if message.step != Step::Dispatch {
+            let remedy = "the order has to be claimed first; send it to the claimer";
+            return Err(not_run(Reason::Invalid, remedy));
         }
-        self.sent.fetch_add(1, Ordering::Relaxed);
-        match tokio::time::timeout(budget, link.order(&order)).await {
-            Ok(Ok(done)) if done.id == order.id => {
-                lock(&permit.replica.idle).push(link);
-                Outcome::Done {
-                    result: done.result,
-                }
-            }
-            Ok(Err(error)) if error.not_begun() => {
-                not_run(Reason::Refused, "the leaf did not begin; try again")
-            }
-            _ => Outcome::Unknown {
-                remedy: SmolStr::new_static("the leaf's answer was lost; look it up by its key"),
-            },
+        let now = Instant::now();
+        let wall = self.shared.settings.wall.now_ms();
+        let left = Duration::from_millis(message.not_after_ms.saturating_sub(wall));
+        if !lock(&self.seen).accept(message.id, left, now) {
+            let remedy = "the message was accepted before; its first copy has the outcome";
+            return Err(not_run(Reason::Refused, remedy));
+        }
+        if !self.shared.is_serving() {
+            let remedy = "the host cannot prove its configuration; try another host";
+            return Err(not_run(Reason::Stale, remedy));
         }
+        let services = self.snapshot();
+        let collection = services.get(&message.collection);
+        let candidates = collection.into_iter().flat_map(Map::values);
+        let ready = candidates.filter_map(|s| {
+            let state = s.lock();
+            let position = state.role.position?;
+            let usable = state.usable(now) != 0;
+            let wait = state.waits(now)[message.rank.index()];
+            drop(state);
+            Some(((!usable, wait, position, s.name.index), s))
+        });
+        let Some((_, service)) = ready.min_by_key(|(key, _)| *key) else {
+            let remedy = "the host dispatches to no service of the collection; try again";
+            return Err(not_run(Reason::Unreachable, remedy));
+        };
+        let deadline = now + Duration::from_millis(message.budget_ms.into());
+        Ok((Arc::clone(service), deadline))
+    }
+}
+
+async fn search<C: Connector, P: Policy>(
+    service: Option<&Arc<Service<C, P>>>,
+    message: &Subquery,
+    ask: &Ask,
+    deadline: Instant,
+    progress: &Progress,
+) -> (u16, Asked) {
+    let asked = match service {
+        Some(service) => {
+            Search::new(service, message, ask, deadline, progress)
+                .run()
+                .await
+        }
+        None => Asked {
+            miss: Some(Cause::Elsewhere),
+            ..Asked::default()
+        },
+    };
+    progress.finish();
+    (ask.service, asked)
+}
+
+fn report<'a, C: Connector, P: Policy>(
+    services: impl Iterator<Item = &'a Arc<Service<C, P>>>,
+) -> Report {
+    let now = Instant::now();
+    let mut report = Report::default();
+    for service in services {
+        let waits = service.lock().waits(now).map(micros);
+        report.waits.push((service.name.clone(), waits));
+        report.leaving.extend(shown(service));
     }
+    report
+}
+
+fn shown<C: Connector, P: Policy>(service: &Service<C, P>) -> Vec<leaf::Name> {
+    let now = Instant::now();
+    let state = service.lock();
+    let shown = state.replicas.iter().filter(|r| r.leaving.is_shown(now));
+    shown.map(|r| r.leaf.name.clone()).collect()
+}
+
+async fn tick<C: Connector, P: Policy>(inner: Weak<Inner<C, P>>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let Some(inner) = inner.upgrade() else { return };
+        inner.each(Service::tick);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn micros(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/dispatch/src/hedge.rs
@@ -0,0 +1,94 @@
+//! When a second request is sent for the same search.
+
+use rattanmast_model::rank::Rank;
+
+use crate::latency::Level;
+
+/// Hedges per first try: the target is at most 5% extra requests.
+pub const SHARE: f64 = 0.05;
+
+/// The most hedges that a service saves up; a burst of slowness gets no more.
+pub const BURST: f64 = 10.0;
+
+/// Parts of the whole query that are still open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Open {
+    /// When the message was sent.
+    pub start: u32,
+    /// Now, as far as the dispatcher knows.
+    pub now: u32,
+}
+
+/// Decides when to hedge.
+pub trait Hedge: Send + 'static {
+    /// Returns the rule for one service.
+    fn new() -> Self;
+    /// Counts a first try.
+    fn earn(&mut self);
+    /// Returns the learned quantile after which to hedge; `None` means not at all.
+    fn level(&self, rank: Rank, open: Open) -> Option<Level>;
+    /// Takes one hedge out of the budget, if there is one.
+    fn spend(&mut self, rank: Rank) -> bool;
+}
+
+/// Hedges on evidence, within a budget of [`SHARE`] of the first tries.
+#[derive(Debug)]
+pub struct Evidence {
+    credit: f64,
+}
+
+impl Hedge for Evidence {
+    fn new() -> Self {
+        Self { credit: 0.0 }
+    }
+
+    fn earn(&mut self) {
+        self.credit = (self.credit + SHARE).min(BURST);
+    }
+
+    /// A scarce budget is kept for the slowest requests, an ample one is used earlier, most of
+    /// all when the whole query waits for its last parts.
+    fn level(&self, _rank: Rank, open: Open) -> Option<Level> {
+        let last = open.start > 1 && open.now * 4 <= open.start;
+        Some(match self.credit / BURST {
+            c if c > 0.5 && last => Level::P90,
+            c if c > 0.5 => Level::P95,
+            c if c > 0.2 => Level::P97,
+            _ => Level::P99,
+        })
+    }
+
+    /// The last part of the budget is left to urgent work.
+    fn spend(&mut self, rank: Rank) -> bool {
+        let keep = match rank {
+            Rank::Urgent => 0.0,
+            Rank::Routine => 0.2 * BURST,
+            Rank::Intake => 0.4 * BURST,
+        };
+        let afford = self.credit >= 1.0 + keep;
+        if afford {
+            self.credit -= 1.0;
+        }
+        afford
+    }
+}
+
+/// Never hedges.
+#[derive(Debug)]
+pub struct Never;
+
+impl Hedge for Never {
+    fn new() -> Self {
+        Self
+    }
+
+    fn earn(&mut self) {}
+
+    fn level(&self, _rank: Rank, _open: Open) -> Option<Level> {
+        None
+    }
+
+    fn spend(&mut self, _rank: Rank) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lanes.rs
@@ -0,0 +1,126 @@
+//! In which order waiting requests are served.
+
+use rattanmast_model::{config::Floors, rank::Rank};
+use tokio::time::Instant;
+
+/// Time at leafs that a rank may save up towards its floor, in requests.
+const SAVED: f64 = 3.0;
+
+/// Orders the work of one service.
+pub trait Lanes: Send + 'static {
+    /// Whether requests are refused or dropped as soon as they cannot be in time.
+    const EARLY: bool;
+    /// Returns the order for a service.
+    fn new(floors: Floors) -> Self;
+    /// Takes new floors.
+    fn floors(&mut self, floors: Floors);
+    /// Returns the lane of a request and what it is ordered by within the lane.
+    fn place(&self, rank: Rank, arrival: Instant, deadline: Instant) -> (usize, Instant);
+    /// Returns the lanes in order of service, and whether each is owed its floor.
+    fn order(&self) -> [(usize, bool); 3];
+    /// Returns how many requests a leaf may have when one from `lane` is sent to it.
+    fn cap(&self, lane: usize, owed: bool, limit: u32, slots: u32) -> u32;
+    /// Takes the time at a leaf, in seconds, that a request of `rank` used; negative to correct.
+    fn charge(&mut self, rank: Rank, time: f64);
+    /// Returns the share of slot time that `rank` keeps while all lanes wait.
+    fn floor(&self, rank: Rank) -> f64;
+}
+
+/// Ranks in their order, each with a floor; within a rank the least time left goes first.
+///
+/// Each second of slot time that is used, by whichever rank, gives each rank its floor in
+/// credit, and the rank that used it pays one second. A rank with credit is below its floor.
+#[derive(Debug)]
+pub struct Ranked {
+    floors: Floors,
+    credit: [f64; 3],
+    cost: f64,
+}
+
+impl Lanes for Ranked {
+    const EARLY: bool = true;
+
+    fn new(floors: Floors) -> Self {
+        Self {
+            floors,
+            credit: [0.0; 3],
+            cost: 0.0,
+        }
+    }
+
+    fn floors(&mut self, floors: Floors) {
+        self.floors = floors;
+    }
+
+    fn place(&self, rank: Rank, _arrival: Instant, deadline: Instant) -> (usize, Instant) {
+        (rank.index(), deadline)
+    }
+
+    fn order(&self) -> [(usize, bool); 3] {
+        let mut lanes = Rank::ALL.map(|r| (r.index(), self.credit[r.index()] > 0.0));
+        // Stable: the order of rank remains among those that are owed and those that are not.
+        lanes.sort_by_key(|(_, owed)| !owed);
+        lanes
+    }
+
+    /// Less urgent work leaves room beyond the leaf's slots, so that urgent work finds no queue
+    /// at the leaf; work below its floor may use that room too.
+    fn cap(&self, lane: usize, owed: bool, limit: u32, slots: u32) -> u32 {
+        match lane {
+            0 => limit,
+            _ if owed => limit,
+            1 => limit.min(slots.max(limit - limit / 4)),
+            _ => limit.min(slots),
+        }
+    }
+
+    fn charge(&mut self, rank: Rank, time: f64) {
+        if time > 0.0 {
+            self.cost += 0.05 * (time - self.cost);
+        }
+        for r in Rank::ALL {
+            self.credit[r.index()] += self.floors.of(r) * time;
+        }
+        self.credit[rank.index()] -= time;
+        let most = SAVED * self.cost.max(time);
+        self.credit
+            .iter_mut()
+            .for_each(|c| *c = c.clamp(-most, most));
+    }
+
+    fn floor(&self, rank: Rank) -> f64 {
+        self.floors.of(rank)
+    }
+}
+
+/// First in, first out, whatever the rank.
+#[derive(Debug)]
+pub struct Fifo;
+
+impl Lanes for Fifo {
+    const EARLY: bool = false;
+
+    fn new(_floors: Floors) -> Self {
+        Self
+    }
+
+    fn floors(&mut self, _floors: Floors) {}
+
+    fn place(&self, _rank: Rank, arrival: Instant, _deadline: Instant) -> (usize, Instant) {
+        (0, arrival)
+    }
+
+    fn order(&self) -> [(usize, bool); 3] {
+        [(0, false), (1, false), (2, false)]
+    }
+
+    fn cap(&self, _lane: usize, _owed: bool, limit: u32, _slots: u32) -> u32 {
+        limit
+    }
+
+    fn charge(&mut self, _rank: Rank, _time: f64) {}
+
+    fn floor(&self, _rank: Rank) -> f64 {
+        0.0
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/orders.rs
@@ -0,0 +1,177 @@
+//! Orders: one leaf, once.
+
+use std::{sync::Arc, time::Duration};
+
+use rattanmast_model::{
+    leaf::{self, Connector, Link},
+    outcome::{Outcome, Reason},
+    peer::{self, Cause},
+};
+use smol_str::SmolStr;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, sleep_until, timeout_at},
+};
+
+use crate::{
+    lease::{After, Lease, Showed},
+    policy::Policy,
+    service::Service,
+};
+
+/// Longest wait for the leaf's answer after the caller was told that it is unknown.
+///
+/// Closing the connection earlier could cut the order off at a leaf that is only slow.
+const LAST: Duration = Duration::from_secs(30);
+/// Interval at which it is checked whether the connection has to be closed.
+const CHECK: Duration = Duration::from_millis(500);
+
+pub(crate) fn not_run(reason: Reason, remedy: &'static str) -> Outcome {
+    Outcome::NotRun {
+        reason,
+        remedy: SmolStr::new_static(remedy),
+    }
+}
+
+pub(crate) fn unknown() -> Outcome {
+    Outcome::Unknown {
+        remedy: SmolStr::new_static("the leaf may have run the order; look it up by its key"),
+    }
+}
+
+/// Runs an order at one leaf of `service` and tells `tx` its outcome.
+///
+/// Before the order is sent, a caller that gives up stops it; afterwards it runs to its end.
+pub(crate) async fn run<C: Connector, P: Policy>(
+    service: Arc<Service<C, P>>,
+    message: peer::Order,
+    deadline: Instant,
+    mut tx: oneshot::Sender<Outcome>,
+) {
+    let wall = service.shared.settings.wall;
+    let left = message.not_after_ms.saturating_sub(wall.now_ms());
+    // The bound keeps the addition in range.
+    let expiry = Instant::now() + Duration::from_millis(left.min(3_600_000));
+    let acquired = tokio::select! {
+        biased;
+        () = tx.closed() => return,
+        acquired = service.acquire(message.rank, deadline.min(expiry), u64::MAX) => acquired,
+    };
+    let mut lease = match acquired {
+        Ok(lease) => lease,
+        Err(cause) => {
+            let _gone = tx.send(refused(&cause));
+            return;
+        }
+    };
+    let order = leaf::Order {
+        id: service.shared.ids.next(),
+        key: message.key,
+        collection: message.collection,
+        action: message.action,
+        record: message.record,
+        rank: message.rank,
+        not_after_ms: message.not_after_ms,
+        trace: message.trace,
+    };
+    // Checked last, so that nothing but a pause of the process comes between it and the send;
+    // for that the leaf checks the same time.
+    if let Err(outcome) = may_send(&service, &order) {
+        let _gone = tx.send(outcome);
+        return;
+    }
+    let Some(link) = lease.send() else {
+        return;
+    };
+    send(lease, link, &order, deadline, tx).await;
+}
+
+fn may_send<C: Connector, P: Policy>(
+    service: &Service<C, P>,
+    order: &leaf::Order,
+) -> Result<(), Outcome> {
+    if !service.is_active() {
+        let remedy = "the host stopped dispatching before the send; try again";
+        return Err(not_run(Reason::Stale, remedy));
+    }
+    if service.shared.settings.wall.now_ms() > order.not_after_ms {
+        let remedy = "the right to send expired before the send; try again";
+        return Err(not_run(Reason::Late, remedy));
+    }
+    Ok(())
+}
+
+fn refused(cause: &Cause) -> Outcome {
+    match cause {
+        Cause::Overload => not_run(Reason::Overload, "the queue is too long; try again later"),
+        Cause::Late => not_run(Reason::Late, "no leaf was free in time; allow more time"),
+        Cause::Elsewhere => not_run(
+            Reason::Stale,
+            "the host does not dispatch to the collection; try again",
+        ),
+        _ => not_run(
+            Reason::Unreachable,
+            "no leaf of the collection is reachable; try again later",
+        ),
+    }
+}
+
+async fn send<C: Connector, P: Policy>(
+    lease: Lease<C, P>,
+    mut link: C::Link,
+    order: &leaf::Order,
+    deadline: Instant,
+    tx: oneshot::Sender<Outcome>,
+) {
+    let mut tx = Some(tx);
+    let answer = {
+        let call = link.order(order);
+        tokio::pin!(call);
+        let mut answer = timeout_at(deadline, &mut call).await.ok();
+        if answer.is_none() {
+            let _gone = tx.take().map(|tx| tx.send(unknown()));
+            let last = Instant::now() + LAST;
+            answer = loop {
+                tokio::select! {
+                    biased;
+                    answer = &mut call => break Some(answer),
+                    () = sleep_until(last) => break None,
+                    () = sleep(CHECK) => if lease.service.is_overdue() { break None; },
+                }
+            };
+        }
+        answer
+    };
+    let (after, showed, outcome) = judge(&lease, link, answer, order);
+    lease.settle(after, showed);
+    let _gone = tx.map(|tx| tx.send(outcome));
+}
+
+fn judge<C: Connector, P: Policy>(
+    lease: &Lease<C, P>,
+    link: C::Link,
+    answer: Option<leaf::Result<leaf::Done>>,
+    order: &leaf::Order,
+) -> (After<C::Link>, Showed, Outcome) {
+    let error = match answer {
+        None => return (After::Silent(link), Showed::Nothing, unknown()),
+        Some(Ok(done)) if done.id == order.id => {
+            let outcome = Outcome::Done {
+                result: done.result,
+            };
+            return (After::Keep(link), Showed::Reply(done.load), outcome);
+        }
+        Some(Ok(_)) => {
+            lease.service.shared.counters.mismatches.add(1);
+            return (After::Close(link), Showed::Failure, unknown());
+        }
+        Some(Err(error)) => error,
+    };
+    let outcome = if error.not_begun() {
+        not_run(Reason::Refused, "the leaf did not begin; try again")
+    } else {
+        unknown()
+    };
+    let (after, showed) = crate::attempt::shown(&error, link);
+    (after, showed, outcome)
+}
--- /dev/null
+++ b/crates/dispatch/src/queue.rs
@@ -0,0 +1,81 @@
+//! The waiting requests of one service.
+
+use std::collections::BTreeMap;
+
+use rattanmast_model::rank::Rank;
+use tokio::time::Instant;
+
+/// The position of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Key {
+    lane: usize,
+    by: Instant,
+    sequence: u64,
+}
+
+/// A waiting request.
+#[derive(Debug)]
+pub(crate) struct Entry<T> {
+    pub(crate) rank: Rank,
+    /// The replicas that may take it, a bit for each position.
+    pub(crate) eligible: u64,
+    pub(crate) reply: T,
+}
+
+/// The waiting requests of one service, in lanes.
+#[derive(Debug)]
+pub(crate) struct Queue<T> {
+    lanes: [BTreeMap<Key, Entry<T>>; 3],
+    lengths: [u32; 3],
+    next: u64,
+}
+
+impl<T> Queue<T> {
+    pub(crate) fn new() -> Self {
+        Self {
+            lanes: std::array::from_fn(|_| BTreeMap::new()),
+            lengths: [0; 3],
+            next: 0,
+        }
+    }
+
+    pub(crate) fn push(&mut self, lane: usize, by: Instant, entry: Entry<T>) -> Key {
+        let sequence = self.next;
+        self.next += 1;
+        let key = Key { lane, by, sequence };
+        self.lengths[entry.rank.index()] += 1;
+        self.lanes[lane].insert(key, entry);
+        key
+    }
+
+    pub(crate) fn remove(&mut self, key: Key) -> Option<Entry<T>> {
+        let entry = self.lanes[key.lane].remove(&key)?;
+        self.lengths[entry.rank.index()] -= 1;
+        Some(entry)
+    }
+
+    /// Removes all requests.
+    pub(crate) fn clear(&mut self) -> impl Iterator<Item = Entry<T>> + use<T> {
+        self.lengths = [0; 3];
+        let lanes = std::mem::replace(&mut self.lanes, std::array::from_fn(|_| BTreeMap::new()));
+        lanes.into_iter().flat_map(BTreeMap::into_values)
+    }
+
+    /// Returns the requests of `lane` in order.
+    pub(crate) fn lane(&self, lane: usize) -> impl Iterator<Item = (Key, &Entry<T>)> {
+        self.lanes[lane].iter().map(|(k, e)| (*k, e))
+    }
+
+    /// Returns how many requests of each rank wait.
+    pub(crate) fn lengths(&self) -> [u32; 3] {
+        self.lengths
+    }
+
+    pub(crate) fn len(&self) -> u32 {
+        self.lengths.iter().sum()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/replica.rs
@@ -0,0 +1,117 @@
+//! What a service knows of one of its leafs.
+
+use rand::rngs::SmallRng;
+use rattanmast_model::{host, leaf};
+use tokio::time::Instant;
+
+use crate::{
+    health::Health,
+    latency::Latency,
+    leaving::Leaving,
+    limit::{Bounds, Limit},
+    pool::Pool,
+};
+
+/// A leaf of a service.
+#[derive(Debug)]
+pub(crate) struct Replica<L, M> {
+    pub(crate) leaf: leaf::Leaf,
+    /// Whether the platform lists it.
+    pub(crate) listed: bool,
+    pub(crate) pool: Pool<L>,
+    pub(crate) limit: M,
+    pub(crate) latency: Latency,
+    pub(crate) health: Health,
+    pub(crate) leaving: Leaving,
+    /// Requests at the leaf from this host.
+    pub(crate) in_flight: u32,
+    incarnation: Option<host::Incarnation>,
+    /// The times at which the last replies' requests were sent, for comparison with silent ones.
+    answered: [Option<Instant>; PROGRESS],
+    /// When the last answered cancellation was sent: no work, so it is answered at once.
+    pinged: Option<Instant>,
+}
+
+/// Replies to later requests that show that a leaf makes progress.
+const PROGRESS: usize = 3;
+
+impl<L, M: Limit> Replica<L, M> {
+    pub(crate) fn new(leaf: leaf::Leaf, bounds: Bounds) -> Self {
+        Self {
+            listed: true,
+            pool: Pool::new(bounds.share),
+            limit: M::new(bounds),
+            latency: Latency::new(),
+            health: Health::new(),
+            leaving: Leaving::new(leaf.state),
+            in_flight: 0,
+            incarnation: None,
+            answered: [None; PROGRESS],
+            pinged: None,
+            leaf,
+        }
+    }
+
+    /// Returns how many requests the leaf may have now.
+    pub(crate) fn allowed(&self, now: Instant) -> u32 {
+        if !self.listed || self.leaving.is_leaving(now) {
+            return 0;
+        }
+        self.limit.allowed().min(self.health.allowed(now))
+    }
+
+    /// Tells whether the leaf may get work at all, as far as is known.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.allowed(now) > 0
+    }
+
+    /// Tells whether the place in the arena may be given to another leaf.
+    pub(crate) fn is_vacant(&self) -> bool {
+        !self.listed && self.is_unused()
+    }
+
+    /// Tells whether no request and no connection to the leaf exists.
+    pub(crate) fn is_unused(&self) -> bool {
+        self.in_flight == 0 && self.pool.counted() == 0
+    }
+
+    /// Takes what the leaf says of itself. A new process is cold.
+    pub(crate) fn heard(&mut self, load: leaf::Load, now: Instant) {
+        if self
+            .incarnation
+            .is_some_and(|known| known != load.incarnation)
+        {
+            self.latency = Latency::new();
+            self.limit.cold();
+            self.leaving.restarted();
+        }
+        self.incarnation = Some(load.incarnation);
+        if load.draining {
+            self.leaving.show(now);
+        }
+    }
+
+    /// Takes a failed request.
+    pub(crate) fn failed(&mut self, now: Instant, rng: &mut SmallRng) {
+        self.health.failed(now, rng);
+        self.limit.failed(now);
+    }
+
+    /// Notes that a request that was sent at `sent` got its reply.
+    pub(crate) fn progress(&mut self, sent: Instant) {
+        let oldest = self.answered.iter_mut().min();
+        if let Some(oldest) = oldest.filter(|o| **o < Some(sent)) {
+            *oldest = Some(sent);
+        }
+    }
+
+    /// Notes that a cancellation that was sent at `sent` was answered.
+    pub(crate) fn pinged(&mut self, sent: Instant) {
+        self.pinged = self.pinged.max(Some(sent));
+    }
+
+    /// Tells whether the leaf answered a cancellation, or several requests, sent after `sent`.
+    pub(crate) fn progressed(&self, sent: Instant) -> bool {
+        self.pinged > Some(sent) || self.answered.iter().all(|a| *a > Some(sent))
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/search.rs
@@ -0,0 +1,280 @@
+//! The search of one service: attempts, hedges and repeats.
+
+use std::{future::poll_fn, sync::Arc, task::Poll};
+
+use rattanmast_model::{
+    catalog::Snapshot,
+    leaf::{self, Connector},
+    peer::{Ask, Cause, Subquery},
+    range,
+};
+use tokio::time::{Instant, sleep_until};
+
+use crate::{
+    attempt::{Attempt, End},
+    hedge::{Hedge as _, Open},
+    lease::Lease,
+    policy::Policy,
+    progress::Progress,
+    service::Service,
+};
+
+/// Repeats of one search after silent connections; each has cost a connection.
+const REPEATS: u32 = 2;
+
+/// What became of one ask.
+#[derive(Debug, Default)]
+pub(crate) struct Asked {
+    pub(crate) parts: Vec<leaf::Part>,
+    pub(crate) miss: Option<Cause>,
+    pub(crate) sent: u32,
+    pub(crate) begun: bool,
+}
+
+/// The search of one service.
+pub(crate) struct Search<'a, C: Connector, P: Policy> {
+    service: &'a Arc<Service<C, P>>,
+    message: &'a Subquery,
+    ask: &'a Ask,
+    deadline: Instant,
+    progress: &'a Progress,
+    /// At most one first try and one hedge.
+    attempts: [Option<Attempt>; 2],
+    /// Leafs that may be asked, a bit each.
+    eligible: u64,
+    holds: Option<Vec<Snapshot>>,
+    repeats: u32,
+    shed: bool,
+    asked: Asked,
+}
+
+impl<'a, C: Connector, P: Policy> Search<'a, C, P> {
+    pub(crate) fn new(
+        service: &'a Arc<Service<C, P>>,
+        message: &'a Subquery,
+        ask: &'a Ask,
+        deadline: Instant,
+        progress: &'a Progress,
+    ) -> Self {
+        let eligible = service.lock().named(&ask.leafs);
+        Self {
+            service,
+            message,
+            ask,
+            deadline,
+            progress,
+            attempts: [None, None],
+            eligible,
+            holds: None,
+            repeats: 0,
+            shed: false,
+            asked: Asked::default(),
+        }
+    }
+
+    /// Runs the search to its end, at the latest at its deadline.
+    pub(crate) async fn run(mut self) -> Asked {
+        let result = match tokio::time::timeout_at(self.deadline, self.find()).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.service.shared.counters.late.add(1);
+                Err(Cause::Late)
+            }
+        };
+        // What is still at a leaf may have begun there.
+        self.asked.begun |= self.attempts.iter().any(Option::is_some);
+        match result {
+            Ok(found) => self.accept(found.parts),
+            Err(cause) => self.asked.miss = Some(cause),
+        }
+        self.asked
+    }
+
+    /// Accepts parts that lie in the asked ranges and do not overlap.
+    fn accept(&mut self, parts: Vec<leaf::Part>) {
+        let mut got = range::Set::new();
+        for part in parts {
+            let asked = self.ask.ranges.iter().any(|r| r.covers(part.range));
+            if asked && !part.range.is_empty() && !got.overlaps(part.range) {
+                got.insert(part.range);
+                self.asked.parts.push(part);
+            }
+        }
+        if !self.ask.ranges.iter().all(|r| got.covers(*r)) {
+            self.asked.miss = Some(Cause::Moved);
+        }
+    }
+
+    async fn find(&mut self) -> Result<leaf::Found, Cause> {
+        let lease = self.acquire().await?;
+        self.service.lock().hedge.earn();
+        self.start(lease);
+        let mut hedge = self.hedge_at(Instant::now());
+        loop {
+            let end = tokio::select! {
+                biased;
+                end = next(&mut self.attempts) => end,
+                () = wait_until(hedge) => {
+                    hedge = self.hedge();
+                    continue;
+                }
+            };
+            let (replica, end) = end;
+            match end {
+                End::Found(found) => {
+                    self.asked.begun = true;
+                    return Ok(found);
+                }
+                End::GivenUp => {
+                    self.asked.begun = true;
+                    if self.is_waiting() {
+                        continue;
+                    }
+                    if self.repeats == REPEATS {
+                        return Err(Cause::Unreachable);
+                    }
+                    self.repeats += 1;
+                    self.repeat().await?;
+                }
+                End::Failed(error) => self.failed(replica, error).await?,
+            }
+            hedge = self.hedge_at(Instant::now());
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.attempts.iter().any(Option::is_some)
+    }
+
+    async fn acquire(&self) -> Result<Lease<C, P>, Cause> {
+        let rank = self.message.rank;
+        self.service
+            .acquire(rank, self.deadline, self.eligible)
+            .await
+    }
+
+    fn start(&mut self, lease: Lease<C, P>) {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let search = leaf::Search {
+            id: self.service.shared.ids.next(),
+            collection: self.message.collection.clone(),
+            snapshot: self.message.snapshot,
+            ranges: self.ask.ranges.clone(),
+            text: self.message.text.clone(),
+            rank: self.message.rank,
+            budget_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            trace: self.message.trace,
+        };
+        self.asked.sent += 1;
+        let place = usize::from(self.attempts[0].is_some());
+        self.attempts[place] = Some(Attempt::start(lease, search));
+    }
+
+    async fn repeat(&mut self) -> Result<(), Cause> {
+        let lease = self.acquire().await?;
+        self.service.shared.counters.repeats.add(1);
+        self.start(lease);
+        Ok(())
+    }
+
+    /// Goes on after a failure: elsewhere at once if the leaf had not begun, else on budget.
+    async fn failed(&mut self, replica: usize, error: leaf::Error) -> Result<(), Cause> {
+        self.asked.begun |= !error.not_begun();
+        self.eligible &= !(1 << replica);
+        let first_shed = matches!(error, leaf::Error::Shed { .. }) && !self.shed;
+        let (cause, again) = match error {
+            leaf::Error::Gone { holds, .. } => {
+                let known = self.holds.get_or_insert_default();
+                known.extend(holds);
+                known.sort_unstable();
+                known.dedup();
+                (Cause::Gone(known.clone()), true)
+            }
+            leaf::Error::Shed { .. } => (Cause::Overload, first_shed),
+            leaf::Error::Expired { .. } => (Cause::Late, false),
+            leaf::Error::Connect { .. } | leaf::Error::Full | leaf::Error::Leaving { .. } => {
+                (Cause::Unreachable, true)
+            }
+            leaf::Error::Broken { .. } | leaf::Error::Failed { .. } => (Cause::Unreachable, false),
+        };
+        self.shed |= first_shed;
+        if self.is_waiting() {
+            return Ok(());
+        }
+        let now = Instant::now();
+        let others = self.service.lock().usable(now) & self.eligible != 0;
+        if others && again {
+            return self.repeat().await.map_err(|_| cause);
+        }
+        let failed = cause == Cause::Unreachable;
+        if others && failed && self.service.lock().hedge.spend(self.message.rank) {
+            self.service.shared.counters.hedges.add(1);
+            let lease = self.acquire().await.map_err(|_| cause)?;
+            self.start(lease);
+            return Ok(());
+        }
+        Err(cause)
+    }
+
+    fn open(&self) -> Open {
+        Open {
+            start: self.message.open,
+            now: self.message.open.saturating_sub(self.progress.done()),
+        }
+    }
+
+    /// Returns when to hedge the only attempt, if at all.
+    fn hedge_at(&self, now: Instant) -> Option<Instant> {
+        let [Some(first), None] = &self.attempts else {
+            return None;
+        };
+        let rank = self.message.rank;
+        let state = self.service.lock();
+        let level = state.hedge.level(rank, self.open())?;
+        let slow = state.slow(first.replica, rank, level)?;
+        let at = first.sent + slow;
+        // A hedge that was not possible is tried again after a quarter of the time.
+        Some(if at > now { at } else { now + slow / 4 })
+    }
+
+    /// Sends the search to another leaf if there is evidence, budget and room for it.
+    fn hedge(&mut self) -> Option<Instant> {
+        let Some(first) = &self.attempts[0] else {
+            return None;
+        };
+        let others = self.eligible & !(1 << first.replica);
+        let lease = self.service.hedge(self.message.rank, self.deadline, others);
+        match lease {
+            Some(lease) => {
+                self.service.shared.counters.hedges.add(1);
+                self.start(lease);
+                None
+            }
+            None => self.hedge_at(Instant::now()),
+        }
+    }
+}
+
+/// Waits for the first end of an attempt.
+async fn next(attempts: &mut [Option<Attempt>; 2]) -> (usize, End) {
+    poll_fn(|cx| {
+        for place in attempts.iter_mut() {
+            let Some(attempt) = place else { continue };
+            if let Poll::Ready(end) = std::pin::Pin::new(&mut attempt.end).poll(cx) {
+                let replica = attempt.replica;
+                *place = None;
+                // Only a runtime that shuts down stops the task without an end.
+                return Poll::Ready((replica, end.unwrap_or(End::GivenUp)));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/service.rs
@@ -0,0 +1,273 @@
+//! One service: its queue, its leafs and what limits them.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
+
+use rattanmast_model::{
+    catalog,
+    leaf::{self, Connector},
+    peer::Cause,
+    rank::Rank,
+    request,
+};
+use tokio::{sync::oneshot, time::Instant};
+
+use crate::{
+    hedge::Hedge as _,
+    lanes::Lanes as _,
+    lease::Lease,
+    policy::Policy,
+    queue::{Entry, Key},
+    replica::Replica,
+    settings::Settings,
+    state::{Role, State},
+    stats::Counters,
+};
+
+/// What all services of a dispatcher share.
+#[derive(Debug)]
+pub(crate) struct Shared<C> {
+    pub(crate) connector: C,
+    pub(crate) settings: Settings,
+    pub(crate) counters: Counters,
+    pub(crate) ids: request::Sequence,
+    pub(crate) serving: AtomicBool,
+}
+
+impl<C> Shared<C> {
+    /// Tells whether new work may be sent.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.serving.load(Ordering::SeqCst)
+    }
+}
+
+/// A service and the state of its leafs.
+pub(crate) struct Service<C: Connector, P: Policy> {
+    pub(crate) name: catalog::Service,
+    pub(crate) shared: Arc<Shared<C>>,
+    state: Mutex<State<C, P>>,
+}
+
+impl<C: Connector, P: Policy> Service<C, P> {
+    pub(crate) fn new(
+        name: catalog::Service,
+        shared: Arc<Shared<C>>,
+        role: Role,
+        seed: u64,
+    ) -> Self {
+        Self {
+            name,
+            shared,
+            state: Mutex::new(State::new(role, seed)),
+        }
+    }
+
+    /// Locks the state; a panic elsewhere does not make it unusable.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State<C, P>> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a new role and the listed leafs.
+    pub(crate) fn apply(self: &Arc<Self>, role: Role, leafs: &[&leaf::Leaf]) {
+        {
+            let mut state = self.lock();
+            state.role = role;
+            state.lanes.floors(role.floors);
+            state.list(leafs);
+        }
+        self.pump();
+    }
+
+    /// Sends waiting requests to free leafs, and opens and closes connections as needed.
+    pub(crate) fn pump(self: &Arc<Self>) {
+        let now = Instant::now();
+        if !self.is_active() {
+            self.retire(now);
+            return;
+        }
+        loop {
+            let next = self.lock().next(now);
+            let Some(next) = next else { break };
+            let lease = Lease::new(self, next.rank, next.taken);
+            // A caller that has gone drops the lease, which gives the replica back.
+            let _gone = next.reply.send(Ok(lease));
+        }
+        self.open(now);
+    }
+
+    /// Tells whether this host may send work to the service's leafs.
+    pub(crate) fn is_active(&self) -> bool {
+        self.shared.is_serving() && self.lock().role.position.is_some()
+    }
+
+    /// Tells whether the host neither dispatches to the service nor has connections to it.
+    pub(crate) fn is_vacant(&self) -> bool {
+        let state = self.lock();
+        state.role.position.is_none() && state.replicas.iter().all(Replica::is_unused)
+    }
+
+    /// Refuses what waits and closes what is idle.
+    fn retire(self: &Arc<Self>, now: Instant) {
+        let (waiting, idle) = {
+            let mut state = self.lock();
+            state.retired.get_or_insert(now);
+            let idle = state.surplus(|_| true);
+            (state.queue.clear(), idle)
+        };
+        for entry in waiting {
+            let _gone = entry.reply.send(Err(Cause::Elsewhere));
+        }
+        self.close_all(idle);
+    }
+
+    fn open(self: &Arc<Self>, now: Instant) {
+        let (opens, leaving, stranded) = {
+            let mut state = self.lock();
+            state.retired = None;
+            let mut opens = Vec::new();
+            for i in 0..state.replicas.len() {
+                let wanted = state.wanted(i, now);
+                while state.replicas[i].pool.reserve(wanted) {
+                    opens.push(i);
+                }
+            }
+            let leaving = state.surplus(|r| !r.listed || r.leaving.is_leaving(now));
+            let none = !state.queue.is_empty() && state.usable(now) == 0;
+            (opens, leaving, none.then(|| state.queue.clear()))
+        };
+        for i in opens {
+            self.connect(i);
+        }
+        self.close_all(leaving);
+        for entry in stranded.into_iter().flatten() {
+            let _gone = entry.reply.send(Err(Cause::Unreachable));
+        }
+    }
+
+    /// Tells whether requests in flight have had their time since the host stopped dispatching.
+    pub(crate) fn is_overdue(&self) -> bool {
+        let retired = self.lock().retired;
+        !self.is_active() && retired.is_some_and(|at| at.elapsed() >= self.shared.settings.retire)
+    }
+
+    /// Does what time alone brings about: retries after failures, closing unused connections.
+    pub(crate) fn tick(self: &Arc<Self>) {
+        self.pump();
+        let (now, idle) = (Instant::now(), self.shared.settings.idle);
+        let mut unused = Vec::new();
+        {
+            let mut state = self.lock();
+            for i in 0..state.replicas.len() {
+                let keep = state.warm();
+                let link = state.replicas[i].pool.unused(idle, keep, now);
+                if let Some(link) = link {
+                    state.replicas[i].pool.closing();
+                    unused.push((i, link));
+                }
+            }
+        }
+        self.close_all(unused);
+    }
+
+    /// Gets the right to one request at a leaf, at once or after waiting for it.
+    pub(crate) async fn acquire(
+        self: &Arc<Self>,
+        rank: Rank,
+        deadline: Instant,
+        eligible: u64,
+    ) -> Result<Lease<C, P>, Cause> {
+        let (mut waiting, latest) = match self.enter(rank, deadline, eligible)? {
+            Entered::Now(lease) => return Ok(lease),
+            Entered::Later(waiting, latest) => (waiting, latest),
+        };
+        self.pump();
+        tokio::select! {
+            biased;
+            granted = &mut waiting.granted => granted.unwrap_or(Err(Cause::Unreachable)),
+            () = tokio::time::sleep_until(latest) => {
+                self.shared.counters.late.add(1);
+                Err(Cause::Late)
+            }
+        }
+    }
+
+    fn enter(
+        self: &Arc<Self>,
+        rank: Rank,
+        deadline: Instant,
+        eligible: u64,
+    ) -> Result<Entered<C, P>, Cause> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if state.role.position.is_none() || !self.shared.is_serving() {
+            return Err(Cause::Elsewhere);
+        }
+        if state.usable(now) & eligible == 0 {
+            return Err(Cause::Unreachable);
+        }
+        let latest = state.check(rank, deadline, now, &self.shared)?;
+        let (lane, by) = state.lanes.place(rank, now, deadline);
+        if state.queue.is_empty() {
+            let owed = state.lanes.order().contains(&(lane, true));
+            if let Some(taken) = state.take(rank, lane, owed, eligible, now) {
+                return Ok(Entered::Now(Lease::new(self, rank, taken)));
+            }
+        }
+        let (reply, granted) = oneshot::channel();
+        let entry = Entry {
+            rank,
+            eligible,
+            reply,
+        };
+        let key = state.queue.push(lane, by, entry);
+        let waiting = Waiting {
+            service: Arc::clone(self),
+            key,
+            granted,
+        };
+        Ok(Entered::Later(waiting, latest))
+    }
+
+    /// Takes another replica for a hedge, if that is free of cost to waiting work.
+    pub(crate) fn hedge(
+        self: &Arc<Self>,
+        rank: Rank,
+        deadline: Instant,
+        eligible: u64,
+    ) -> Option<Lease<C, P>> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if !self.shared.is_serving() || state.role.position.is_none() || !state.queue.is_empty() {
+            return None;
+        }
+        let lane = state.lanes.place(rank, now, deadline).0;
+        if now + state.load.cost(rank) > deadline || !state.is_free(lane, false, eligible, now) {
+            return None;
+        }
+        if !state.hedge.spend(rank) {
+            return None;
+        }
+        let taken = state.take(rank, lane, false, eligible, now)?;
+        Some(Lease::new(self, rank, taken))
+    }
+}
+
+enum Entered<C: Connector, P: Policy> {
+    Now(Lease<C, P>),
+    Later(Waiting<C, P>, Instant),
+}
+
+/// A waiting request; dropping it removes it from the queue.
+struct Waiting<C: Connector, P: Policy> {
+    service: Arc<Service<C, P>>,
+    key: Key,
+    granted: oneshot::Receiver<Result<Lease<C, P>, Cause>>,
+}
+
+impl<C: Connector, P: Policy> Drop for Waiting<C, P> {
+    fn drop(&mut self) {
+        self.service.lock().queue.remove(self.key);
+    }
+}
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::wall::Wall;
+
 /// Settings of a dispatcher; the defaults suit both installations.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -12,7 +14,23 @@
     /// Longest wait for the leaf to close a connection.
     pub close_wait: Duration,
     /// Time after which a connection that was not seen to close stops counting.
+    ///
+    /// It must exceed the time after which leafs close silent connections themselves.
     pub abandon: Duration,
+    /// Time that requests in flight have when the host stops dispatching to a service.
+    ///
+    /// Connections must be closed 3 s after that.
+    pub retire: Duration,
+    /// Time after which an idle connection beyond the warm ones is closed.
+    pub idle: Duration,
+    /// Factor on the expected wait when a request is refused early.
+    pub headroom: f64,
+    /// Whether every host dispatches to every service, with an equal share of connections.
+    ///
+    /// The plain alternative to candidate hosts, for measurements only.
+    pub everyone: bool,
+    /// The wall clock that `not_after_ms` is compared with.
+    pub wall: Wall,
 }
 
 impl Default for Settings {
@@ -22,6 +40,11 @@
             open_timeout: Duration::from_secs(1),
             close_wait: Duration::from_secs(1),
             abandon: Duration::from_secs(30),
+            retire: Duration::from_millis(1_500),
+            idle: Duration::from_secs(10),
+            headroom: 1.25,
+            everyone: false,
+            wall: Wall::System,
         }
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/state.rs
@@ -0,0 +1,339 @@
+//! The state of one service: what its leafs may get, and who is next.
+
+use std::time::Duration;
+
+use rand::{SeedableRng as _, rngs::SmallRng};
+use rattanmast_model::{
+    config::Floors,
+    leaf::{self, Connector},
+    peer::Cause,
+    rank::Rank,
+};
+use tokio::{sync::oneshot, time::Instant};
+
+use crate::{
+    choice::{Choice, View},
+    hedge::Hedge,
+    lanes::Lanes,
+    latency::Level,
+    lease::Lease,
+    limit::{Bounds, Limit as _},
+    load::Load,
+    policy::Policy,
+    queue::{Entry, Key, Queue},
+    replica::Replica,
+    service::Shared,
+};
+
+/// Waiting requests of a lane that are looked at for one that a free leaf may take.
+const SCAN: usize = 8;
+
+/// The most leafs of a service: a bit each in a set.
+const LEAFS: usize = 64;
+
+/// What the configuration says of a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Role {
+    /// The position of this host among the candidates; `None` if it is none of them.
+    pub(crate) position: Option<usize>,
+    pub(crate) limits: leaf::Limits,
+    pub(crate) share: u32,
+    pub(crate) floors: Floors,
+}
+
+impl Role {
+    fn bounds(&self) -> Bounds {
+        Bounds {
+            slots: self.limits.slots,
+            share: self.share,
+            first: self.position == Some(0),
+        }
+    }
+}
+
+pub(crate) type Reply<C, P> = oneshot::Sender<Result<Lease<C, P>, Cause>>;
+
+/// What changes; locked briefly and never across an await.
+pub(crate) struct State<C: Connector, P: Policy> {
+    pub(crate) role: Role,
+    /// When the host stopped dispatching to the service.
+    pub(crate) retired: Option<Instant>,
+    pub(crate) replicas: Vec<Replica<C::Link, P::Limit>>,
+    pub(crate) queue: Queue<Reply<C, P>>,
+    pub(crate) lanes: P::Lanes,
+    pub(crate) hedge: P::Hedge,
+    pub(crate) load: Load,
+    pub(crate) rng: SmallRng,
+    choice: P::Choice,
+}
+
+/// What became of the attempt to get a replica at once.
+pub(crate) struct Taken<L> {
+    pub(crate) replica: usize,
+    pub(crate) link: L,
+    /// Requests in flight at the replica, this one included.
+    pub(crate) in_flight: u32,
+    /// Time at the leaf that was charged in advance, in seconds.
+    pub(crate) charged: f64,
+}
+
+/// A waiting request and the leaf that takes it.
+pub(crate) struct Next<C: Connector, P: Policy> {
+    pub(crate) reply: Reply<C, P>,
+    pub(crate) rank: Rank,
+    pub(crate) taken: Taken<C::Link>,
+}
+
+impl<C: Connector, P: Policy> State<C, P> {
+    pub(crate) fn new(role: Role, seed: u64) -> Self {
+        Self {
+            role,
+            retired: None,
+            replicas: Vec::new(),
+            queue: Queue::new(),
+            lanes: P::Lanes::new(role.floors),
+            hedge: P::Hedge::new(),
+            load: Load::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            choice: P::Choice::new(),
+        }
+    }
+
+    /// Takes the listed leafs; a new one gets a vacant place, or a place of its own.
+    pub(crate) fn list(&mut self, leafs: &[&leaf::Leaf]) {
+        let bounds = self.role.bounds();
+        self.replicas.iter_mut().for_each(|r| r.listed = false);
+        for leaf in leafs {
+            let known = self.replicas.iter_mut().find(|r| {
+                r.leaf == **leaf || {
+                    let same = (&r.leaf.name, r.leaf.addr) == (&leaf.name, leaf.addr);
+                    same && r.leaf.service == leaf.service
+                }
+            });
+            if let Some(replica) = known {
+                replica.listed = true;
+                replica.leaving.list(leaf.state);
+                replica.leaf = (*leaf).clone();
+                continue;
+            }
+            let replica = Replica::new((*leaf).clone(), bounds);
+            // Waiting requests refer to places, so a place changes hands only while none waits.
+            let vacant = self.replicas.iter().position(Replica::is_vacant);
+            match vacant.filter(|_| self.queue.is_empty()) {
+                Some(place) => self.replicas[place] = replica,
+                None if self.replicas.len() < LEAFS => self.replicas.push(replica),
+                None => log::warn!("leaf {} is not used: too many leafs at once", leaf.name),
+            }
+        }
+        for replica in &mut self.replicas {
+            replica.limit.resize(bounds);
+        }
+    }
+
+    /// Takes the idle connections that exceed the share, and all those of matching replicas.
+    pub(crate) fn surplus(
+        &mut self,
+        all: impl Fn(&Replica<C::Link, P::Limit>) -> bool,
+    ) -> Vec<(usize, C::Link)> {
+        let share = self.role.share;
+        let mut surplus = Vec::new();
+        for (i, replica) in self.replicas.iter_mut().enumerate() {
+            let mut links = replica.pool.resize(share);
+            if all(replica) {
+                links.extend(replica.pool.shed(u32::MAX));
+            }
+            for link in links {
+                replica.pool.closing();
+                surplus.push((i, link));
+            }
+        }
+        surplus
+    }
+
+    /// Connections kept open without need: the first candidate's leafs are used all the time.
+    pub(crate) fn warm(&self) -> u32 {
+        match self.role.position {
+            Some(0) => (self.role.limits.slots + 1).min(self.role.share),
+            _ => 0,
+        }
+    }
+
+    /// Returns how many active connections replica `i` should have.
+    pub(crate) fn wanted(&self, i: usize, now: Instant) -> u32 {
+        let (replica, share) = (&self.replicas[i], self.role.share);
+        let allowed = replica.allowed(now);
+        if allowed == 0 {
+            return 0;
+        }
+        let waiting = self.queue.len();
+        // The last connection replaces silent ones; only a long queue is a reason to use it.
+        let most = if waiting >= 2 * share {
+            share
+        } else {
+            (share.saturating_sub(1)).max(self.role.limits.slots.min(share))
+        };
+        let needed = allowed.min(replica.in_flight + waiting);
+        self.warm().min(allowed.max(2)).max(needed).min(most)
+    }
+
+    /// Returns the replicas that may get work, a bit each.
+    pub(crate) fn usable(&self, now: Instant) -> u64 {
+        let usable = |(i, r): (usize, &Replica<_, _>)| u64::from(r.is_usable(now)) << i;
+        self.replicas
+            .iter()
+            .enumerate()
+            .map(usable)
+            .fold(0, |a, b| a | b)
+    }
+
+    /// Returns the replicas named in `names`, or all if none of them is known.
+    pub(crate) fn named(&self, names: &[leaf::Name]) -> u64 {
+        let named = |(i, r): (usize, &Replica<C::Link, P::Limit>)| {
+            u64::from(names.contains(&r.leaf.name)) << i
+        };
+        match self
+            .replicas
+            .iter()
+            .enumerate()
+            .map(named)
+            .fold(0, |a, b| a | b)
+        {
+            0 => u64::MAX,
+            set => set,
+        }
+    }
+
+    /// Refuses what cannot be in time; returns the latest time to send the request.
+    pub(crate) fn check(
+        &self,
+        rank: Rank,
+        deadline: Instant,
+        now: Instant,
+        shared: &Shared<C>,
+    ) -> Result<Instant, Cause> {
+        if !P::Lanes::EARLY {
+            return Ok(deadline);
+        }
+        let cost = self.load.cost(rank);
+        if now + cost > deadline {
+            shared.counters.late.add(1);
+            return Err(Cause::Late);
+        }
+        let wait = self.waits(now)[rank.index()].mul_f64(shared.settings.headroom);
+        if now + wait + cost > deadline {
+            shared.counters.refused.add(1);
+            return Err(Cause::Overload);
+        }
+        Ok(deadline - cost)
+    }
+
+    /// Returns the expected wait by rank.
+    pub(crate) fn waits(&self, now: Instant) -> [Duration; 3] {
+        let capacity: u32 = self.replicas.iter().map(|r| r.allowed(now)).sum();
+        let floors = Rank::ALL.map(|r| self.lanes.floor(r));
+        self.load
+            .waits(self.queue.lengths(), capacity.max(1), floors, now)
+    }
+
+    /// Takes the next waiting request that a free leaf may have.
+    pub(crate) fn next(&mut self, now: Instant) -> Option<Next<C, P>> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        for (lane, owed) in self.lanes.order() {
+            let fits = |(_, e): &(Key, &Entry<_>)| self.is_free(lane, owed, e.eligible, now);
+            let key = self
+                .queue
+                .lane(lane)
+                .take(SCAN)
+                .find(fits)
+                .map(|(key, _)| key);
+            if let Some(entry) = key.and_then(|key| self.queue.remove(key)) {
+                let taken = self.take(entry.rank, lane, owed, entry.eligible, now)?;
+                return Some(Next {
+                    reply: entry.reply,
+                    rank: entry.rank,
+                    taken,
+                });
+            }
+        }
+        None
+    }
+
+    fn views(
+        &self,
+        lane: usize,
+        owed: bool,
+        eligible: u64,
+        now: Instant,
+    ) -> impl Iterator<Item = View> + Clone {
+        let slots = self.role.limits.slots;
+        let prior = self.prior();
+        let replicas = self.replicas.iter().enumerate();
+        replicas.filter_map(move |(index, r)| {
+            let limit = r.allowed(now);
+            let cap = self.lanes.cap(lane, owed, limit, slots);
+            let free = eligible >> index & 1 == 1 && r.in_flight < cap && r.pool.has_idle();
+            free.then(|| View {
+                index,
+                in_flight: r.in_flight,
+                limit,
+                latency: r.latency.expected(prior, now),
+                success: r.health.success(),
+            })
+        })
+    }
+
+    /// Returns the least learned mean latency of the leafs, in seconds.
+    fn prior(&self) -> f64 {
+        let means = self.replicas.iter().filter_map(|r| r.latency.mean());
+        means.min_by(f64::total_cmp).unwrap_or(1e-3)
+    }
+
+    pub(crate) fn is_free(&self, lane: usize, owed: bool, eligible: u64, now: Instant) -> bool {
+        self.views(lane, owed, eligible, now).next().is_some()
+    }
+
+    pub(crate) fn take(
+        &mut self,
+        rank: Rank,
+        lane: usize,
+        owed: bool,
+        eligible: u64,
+        now: Instant,
+    ) -> Option<Taken<C::Link>> {
+        let mut choice = std::mem::replace(&mut self.choice, P::Choice::new());
+        let mut rng = self.rng.clone();
+        let chosen = choice.choose(&mut rng, self.views(lane, owed, eligible, now));
+        (self.choice, self.rng) = (choice, rng);
+        let charged = self.load.cost(rank).as_secs_f64();
+        let index = chosen?;
+        let replica = &mut self.replicas[index];
+        let link = replica.pool.take()?;
+        replica.in_flight += 1;
+        let in_flight = replica.in_flight;
+        self.lanes.charge(rank, charged);
+        Some(Taken {
+            replica: index,
+            link,
+            in_flight,
+            charged,
+        })
+    }
+
+    /// Returns after which time a search of kind `rank` at `replica` is slow.
+    ///
+    /// A leaf that is slow as a whole is measured against the best of the others.
+    pub(crate) fn slow(&self, replica: usize, rank: Rank, level: Level) -> Option<Duration> {
+        let of = |r: &Replica<C::Link, P::Limit>| r.latency.quantile(rank, level);
+        let others = self.replicas.iter().enumerate();
+        let best = others
+            .filter(|(i, _)| *i != replica)
+            .filter_map(|(_, r)| of(r))
+            .min();
+        match (of(&self.replicas[replica]), best) {
+            (Some(own), Some(best)) => Some(own.min(best * 3)),
+            (own, best) => own.or(best.map(|b| b * 3)),
+        }
+    }
+}
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -1,24 +1,34 @@
 //! Counters for metrics.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 /// Counters since the start, and gauges of the present state.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Stats {
     /// Requests sent to leafs: first tries, hedges, repeats and orders.
     pub sent: u64,
-    /// Searches sent a second time while the first was still open, or after it failed.
+    /// Searches sent again from the hedging budget: the first was slow, or failed.
     pub hedges: u64,
+    /// Searches sent again because a connection was silent or the leaf had not begun.
+    pub repeats: u64,
+    /// Searches that were cancelled at a leaf.
+    pub cancelled: u64,
     /// Requests that leafs shed.
     pub sheds: u64,
     /// Requests that leafs failed, or whose connection broke.
     pub errors: u64,
-    /// Searches refused because the expected wait was too long.
+    /// Requests refused because the expected wait was too long.
     pub refused: u64,
-    /// Searches dropped because they could no longer be in time.
+    /// Requests dropped because they could no longer be in time.
     pub late: u64,
     /// Replies that did not match their request.
     pub mismatches: u64,
     /// Connections that were found silent.
     pub silent: u64,
+    /// Connections opened.
+    pub opened: u64,
+    /// Connections that could not be opened.
+    pub unopened: u64,
     /// Connections that count against the shares now, closing and silent ones included.
     pub open_connections: u64,
     /// Requests that wait now, by rank.
@@ -27,4 +37,60 @@
     pub in_flight: u64,
     /// Longest expected wait of any service now, by rank, in microseconds.
     pub waits_us: [u64; 3],
+    /// Time at leafs that requests have used, by rank, in microseconds.
+    pub slot_us: [u64; 3],
+}
+
+/// A counter.
+#[derive(Debug, Default)]
+pub(crate) struct Counter(AtomicU64);
+
+impl Counter {
+    pub(crate) fn add(&self, n: u64) {
+        self.0.fetch_add(n, Ordering::Relaxed);
+    }
+
+    pub(crate) fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// The counters of one dispatcher.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    pub(crate) sent: Counter,
+    pub(crate) hedges: Counter,
+    pub(crate) repeats: Counter,
+    pub(crate) cancelled: Counter,
+    pub(crate) sheds: Counter,
+    pub(crate) errors: Counter,
+    pub(crate) refused: Counter,
+    pub(crate) late: Counter,
+    pub(crate) mismatches: Counter,
+    pub(crate) silent: Counter,
+    pub(crate) opened: Counter,
+    pub(crate) unopened: Counter,
+    pub(crate) slot_us: [Counter; 3],
+}
+
+impl Counters {
+    /// Returns the counters; the gauges are zero.
+    pub(crate) fn stats(&self) -> Stats {
+        Stats {
+            sent: self.sent.get(),
+            hedges: self.hedges.get(),
+            repeats: self.repeats.get(),
+            cancelled: self.cancelled.get(),
+            sheds: self.sheds.get(),
+            errors: self.errors.get(),
+            refused: self.refused.get(),
+            late: self.late.get(),
+            mismatches: self.mismatches.get(),
+            silent: self.silent.get(),
+            opened: self.opened.get(),
+            unopened: self.unopened.get(),
+            slot_us: [0, 1, 2].map(|i| self.slot_us[i].get()),
+            ..Stats::default()
+        }
+    }
 }
