Serve the counters of all roles as metrics

Cause: the metrics showed the root's counters alone. Change: module `scrape` reads dispatcher, claimer, root and state when metrics are asked for, so that the request path only counts. Conclusion: `GET /metrics` has one family for events and one for current values, by role.

--- a/crates/host/src/controllers.rs
+++ b/crates/host/src/controllers.rs
@@ -7,9 +7,7 @@
 use rattanmast_wire::{exchange, store};
 use tokio::{sync::watch, time};
 
-use crate::{
-    api::World, auth::Callers, config::Config, local::Roles, metrics::Metrics, peers::Peers,
-};
+use crate::{api::World, auth::Callers, config::Config, local::Roles, peers::Peers};
 
 /// How often the proof of the configuration and leaving leafs are looked at.
 const TICK: Duration = Duration::from_millis(100);
@@ -89,41 +87,3 @@
         self.roles.dispatcher.leaving(&self.node.leaving_leafs());
     }
 }
-
-/// Brings the metrics up to date when they are asked for.
-#[derive(Clone)]
-pub struct Scrape {
-    metrics: Metrics,
-    roles: Roles,
-    gatherer: Gatherer<Peers>,
-    node: Node<store::Client, exchange::Client>,
-}
-
-impl Scrape {
-    /// Returns a scrape of the given parts.
-    pub fn new(
-        metrics: Metrics,
-        roles: &Roles,
-        gatherer: &Gatherer<Peers>,
-        node: &Node<store::Client, exchange::Client>,
-    ) -> Self {
-        Self {
-            metrics,
-            roles: roles.clone(),
-            gatherer: gatherer.clone(),
-            node: node.clone(),
-        }
-    }
-
-    /// Returns the metrics in the text format.
-    pub fn render(&self) -> Vec<u8> {
-        for (event, value) in self.gatherer.stats().fields() {
-            self.metrics.count("root", event, value);
-        }
-        self.metrics
-            .gauge("state", "serving", u64::from(self.node.proof().serving()));
-        let version = self.node.view().borrow().config.version;
-        self.metrics.gauge("state", "config_version", version.0);
-        self.metrics.render()
-    }
-}
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -23,11 +23,11 @@
     api::{Api, World},
     clock,
     config::Config,
-    controllers::{self, Scrape},
-    hop,
+    controllers, hop,
     local::{self, Roles},
     metrics::Metrics,
     peers::Peers,
+    scrape::Scrape,
     server::{self, Phase, Service},
     spans::{self, Connector, Tracer},
 };
@@ -170,7 +170,12 @@
         let service = Service {
             api,
             node: node.clone(),
-            scrape: Scrape::new(metrics, &roles, &gatherer, &node),
+            scrape: Scrape {
+                metrics,
+                roles: roles.clone(),
+                gatherer: gatherer.clone(),
+                node: node.clone(),
+            },
         };
         let follow = controllers::Follow {
             node: node.clone(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod problem;
+pub mod scrape;
 pub mod server;
 pub mod spans;
 
--- /dev/null
+++ b/crates/host/src/scrape.rs
@@ -0,0 +1,88 @@
+//! Brings the metrics up to date when they are asked for.
+
+use rattanmast_gather::Gatherer;
+use rattanmast_model::rank::Rank;
+use rattanmast_state::node::Node;
+use rattanmast_wire::{exchange, store};
+
+use crate::{local::Roles, metrics::Metrics, peers::Peers};
+
+/// Reads the counters of all roles.
+#[derive(Clone)]
+pub struct Scrape {
+    /// The metrics to bring up to date.
+    pub metrics: Metrics,
+    /// Dispatching and claiming.
+    pub roles: Roles,
+    /// Answers queries.
+    pub gatherer: Gatherer<Peers>,
+    /// The state.
+    pub node: Node<store::Client, exchange::Client>,
+}
+
+impl Scrape {
+    /// Returns the metrics in the text format.
+    pub fn render(&self) -> Vec<u8> {
+        for (event, value) in self.gatherer.stats().fields() {
+            self.metrics.count("root", event, value);
+        }
+        self.dispatcher();
+        self.claimer();
+        self.state();
+        self.metrics.render()
+    }
+
+    fn dispatcher(&self) {
+        let stats = self.roles.dispatcher.stats();
+        for (event, value) in [
+            ("sent", stats.sent),
+            ("hedges", stats.hedges),
+            ("sheds", stats.sheds),
+            ("errors", stats.errors),
+            ("refused", stats.refused),
+            ("late", stats.late),
+            ("mismatches", stats.mismatches),
+            ("silent_connections", stats.silent),
+        ] {
+            self.metrics.count("dispatcher", event, value);
+        }
+        let gauge = |name: &str, value| self.metrics.gauge("dispatcher", name, value);
+        gauge("open_connections", stats.open_connections);
+        gauge("in_flight", stats.in_flight);
+        for rank in Rank::ALL {
+            let wait = stats.waits_us[rank.index()];
+            gauge(&format!("wait_us_{}", rank.name()), wait);
+            gauge(
+                &format!("queued_{}", rank.name()),
+                stats.queued[rank.index()],
+            );
+        }
+    }
+
+    fn claimer(&self) {
+        let stats = self.roles.orders.stats();
+        for (event, value) in [
+            ("done", stats.done),
+            ("not_run", stats.not_run),
+            ("unknown", stats.unknown),
+            ("already_done", stats.already_done),
+            ("claimed", stats.claimed),
+            ("platform_writes", stats.writes),
+            ("platform_reads", stats.reads),
+            ("conflicts", stats.conflicts),
+            ("lost_answers", stats.lost),
+        ] {
+            self.metrics.count("claimer", event, value);
+        }
+        self.metrics.gauge("claimer", "keys", stats.keys);
+        self.metrics.gauge("claimer", "in_hand", stats.in_hand);
+    }
+
+    fn state(&self) {
+        let proof = self.node.proof();
+        self.metrics
+            .gauge("state", "serving", u64::from(proof.serving()));
+        let version = self.node.view().borrow().config.version;
+        self.metrics.gauge("state", "config_version", version.0);
+    }
+}
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -18,7 +18,7 @@
 use tokio::{net::TcpListener, sync::watch, time};
 use tokio_util::sync::CancellationToken;
 
-use crate::{api::Api, controllers::Scrape};
+use crate::{api::Api, scrape::Scrape};
 
 /// Time within which a caller must send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
