Add the programs that stand in for platform, leafs and a faulty network

Cause: integration tests need real processes at the interfaces of the host. Change: `rattanmast-platform` serves the store over HTTP with conditional writes, watches, lists and switchable faults; `rattanmast-leaf` serves many leafs of an installation from one process, with admin paths for faults, real runs and holdings; `rattanmast-faults` forwards TCP and cuts, delays, drops, silences, closes after the request or loses the reply. Settings are flags and environment variables, checked at start, with named exit codes.

--- /dev/null
+++ b/crates/fakes/src/config.rs
@@ -0,0 +1,237 @@
+//! Checked settings of the stand-ins.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    ops::RangeInclusive,
+    str::FromStr,
+    time::Duration,
+};
+
+use log::LevelFilter;
+use rattanmast_model::preset::Preset;
+use snafu::Snafu;
+
+use crate::cli;
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A setting that is wrong.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("--{flag} is `{value}`; set it (or {variable}) to {want}"))]
+pub struct Error {
+    /// The flag, without dashes.
+    pub flag: &'static str,
+    /// The environment variable.
+    pub variable: String,
+    /// What it was set to.
+    pub value: String,
+    /// What it should be.
+    pub want: &'static str,
+}
+
+/// Settings of `rattanmast-platform`.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// The installation whose objects are loaded at start.
+    pub preset: Option<Preset>,
+    /// The time that calls take.
+    pub latency: RangeInclusive<Duration>,
+    /// The seed of everything random.
+    pub seed: u64,
+    /// The least severe level that is logged.
+    pub log: LevelFilter,
+}
+
+/// Settings of `rattanmast-leaf`.
+#[derive(Clone, Debug)]
+pub struct Leaf {
+    /// Where the first leaf listens; port 0 takes free ones.
+    pub listen: SocketAddr,
+    /// Where the admin paths are.
+    pub admin: SocketAddr,
+    /// The installation.
+    pub preset: Preset,
+    /// The position of the first leaf.
+    pub first: usize,
+    /// The distance between positions; at least 1.
+    pub step: usize,
+    /// The number of leafs; all if `None`.
+    pub leafs: Option<usize>,
+    /// The median service time.
+    pub median: Duration,
+    /// The seed of everything random.
+    pub seed: u64,
+    /// The least severe level that is logged.
+    pub log: LevelFilter,
+}
+
+/// Settings of `rattanmast-faults`.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    /// Where the admin paths are.
+    pub admin: SocketAddr,
+    /// Where each route listens and what it forwards to.
+    pub routes: Vec<(SocketAddr, SocketAddr)>,
+    /// Time that a silent connection is kept open towards the target.
+    pub hold: Duration,
+    /// The seed of everything random.
+    pub seed: u64,
+    /// The least severe level that is logged.
+    pub log: LevelFilter,
+}
+
+const PORT: &str = "a port from 0 to 65535";
+const IP: &str = "an IP address such as 127.0.0.1";
+const PRESET: &str = "norway or switzerland";
+const MS: &str = "a whole number of milliseconds, at most 3600000";
+const US: &str = "a whole number of microseconds, at most 60000000";
+const SEED: &str = "a whole number";
+const LOG: &str = "off, error, warn, info, debug or trace";
+const ROUTES: &str = "pairs such as 127.0.0.1:0=127.0.0.1:8080, separated by commas";
+
+/// The prefix of a program's environment variables.
+struct Program(&'static str);
+
+impl Program {
+    fn wrong(&self, flag: &'static str, value: &str, want: &'static str) -> Error {
+        let suffix = flag.replace('-', "_").to_uppercase();
+        Error {
+            flag,
+            variable: format!("{}_{suffix}", self.0),
+            value: value.to_owned(),
+            want,
+        }
+    }
+
+    fn parse<T: FromStr>(&self, flag: &'static str, value: &str, want: &'static str) -> Result<T> {
+        value.parse().map_err(|_| self.wrong(flag, value, want))
+    }
+
+    fn within(
+        &self,
+        flag: &'static str,
+        value: &str,
+        range: RangeInclusive<u64>,
+        want: &'static str,
+    ) -> Result<u64> {
+        let number: u64 = self.parse(flag, value, want)?;
+        let inside = range.contains(&number).then_some(number);
+        inside.ok_or_else(|| self.wrong(flag, value, want))
+    }
+
+    fn count(&self, flag: &'static str, value: &str, least: u64) -> Result<usize> {
+        let want = match least {
+            0 => "a whole number below 65536",
+            _ => "a whole number from 1 to 65535",
+        };
+        let number = self.within(flag, value, least..=65_535, want)?;
+        usize::try_from(number).map_err(|_| self.wrong(flag, value, want))
+    }
+
+    fn millis(&self, flag: &'static str, value: &str) -> Result<Duration> {
+        let number = self.within(flag, value, 0..=3_600_000, MS)?;
+        Ok(Duration::from_millis(number))
+    }
+
+    fn preset(&self, value: &str) -> Result<Preset> {
+        Preset::named(value).ok_or_else(|| self.wrong("preset", value, PRESET))
+    }
+}
+
+impl Platform {
+    /// Checks `cli`.
+    ///
+    /// # Errors
+    ///
+    /// Names the first setting that is wrong.
+    pub fn check(cli: &cli::Platform) -> Result<Self> {
+        let program = Program("RATTANMAST_PLATFORM");
+        let ip: IpAddr = program.parse("address", &cli.address, IP)?;
+        let port = program.parse("port", &cli.port, PORT)?;
+        let preset = cli.preset.as_deref().map(|p| program.preset(p));
+        let shortest = program.millis("latency-min-ms", &cli.latency_min_ms)?;
+        let longest = program.millis("latency-max-ms", &cli.latency_max_ms)?;
+        if longest < shortest {
+            let want = "at least --latency-min-ms";
+            return Err(program.wrong("latency-max-ms", &cli.latency_max_ms, want));
+        }
+        Ok(Self {
+            listen: SocketAddr::new(ip, port),
+            preset: preset.transpose()?,
+            latency: shortest..=longest,
+            seed: program.parse("seed", &cli.seed, SEED)?,
+            log: program.parse("log", &cli.log, LOG)?,
+        })
+    }
+}
+
+impl Leaf {
+    /// Checks `cli`.
+    ///
+    /// # Errors
+    ///
+    /// Names the first setting that is wrong.
+    pub fn check(cli: &cli::Leaf) -> Result<Self> {
+        let program = Program("RATTANMAST_LEAF");
+        let ip: IpAddr = program.parse("address", &cli.address, IP)?;
+        let port: u16 = program.parse("port", &cli.port, PORT)?;
+        let admin = program.parse("admin-port", &cli.admin_port, PORT)?;
+        let leafs = cli.leafs.as_deref().map(|n| program.count("leafs", n, 1));
+        let median = program.within("median-us", &cli.median_us, 0..=60_000_000, US)?;
+        let config = Self {
+            listen: SocketAddr::new(ip, port),
+            admin: SocketAddr::new(ip, admin),
+            preset: program.preset(&cli.preset)?,
+            first: program.count("first", &cli.first, 0)?,
+            step: program.count("step", &cli.step, 1)?,
+            leafs: leafs.transpose()?,
+            median: Duration::from_micros(median),
+            seed: program.parse("seed", &cli.seed, SEED)?,
+            log: program.parse("log", &cli.log, LOG)?,
+        };
+        let collections = config.preset.collections.iter();
+        let total: usize = collections
+            .map(|c| usize::from(c.services) * usize::from(c.leafs))
+            .sum();
+        if config.first >= total {
+            let want = "less than the number of leafs of the installation";
+            return Err(program.wrong("first", &cli.first, want));
+        }
+        // The last leaf's port is the first one plus the number of leafs less one.
+        let most = config.leafs.unwrap_or(total).min(total);
+        if usize::from(port) + most > 65_536 {
+            let want = "a port that leaves room for all leafs below 65536";
+            return Err(program.wrong("port", &cli.port, want));
+        }
+        Ok(config)
+    }
+}
+
+impl Faults {
+    /// Checks `cli`.
+    ///
+    /// # Errors
+    ///
+    /// Names the first setting that is wrong.
+    pub fn check(cli: &cli::Faults) -> Result<Self> {
+        let program = Program("RATTANMAST_FAULTS");
+        let ip: IpAddr = program.parse("address", &cli.address, IP)?;
+        let port = program.parse("port", &cli.port, PORT)?;
+        let route = |route: &str| {
+            let (listen, target) = route.trim().split_once('=')?;
+            Some((listen.parse().ok()?, target.parse().ok()?))
+        };
+        let routes = cli.routes.split(',').filter(|r| !r.trim().is_empty());
+        let routes: Option<Vec<_>> = routes.map(route).collect();
+        Ok(Self {
+            admin: SocketAddr::new(ip, port),
+            routes: routes.ok_or_else(|| program.wrong("routes", &cli.routes, ROUTES))?,
+            hold: program.millis("hold-ms", &cli.hold_ms)?,
+            seed: program.parse("seed", &cli.seed, SEED)?,
+            log: program.parse("log", &cli.log, LOG)?,
+        })
+    }
+}
--- a/crates/fakes/src/connection.rs
+++ b/crates/fakes/src/connection.rs
@@ -65,6 +65,13 @@
         .await
     }
 
+    /// Waits until the leaf has closed the connection.
+    pub async fn broken(&self) {
+        let mut phase = self.phase.clone();
+        // The sender is dropped only together with the leaf.
+        let _ = phase.wait_for(|p| *p == Phase::Broken).await;
+    }
+
     /// Tells whether the leaf would learn of a close.
     pub fn is_open(&self) -> bool {
         *self.phase.borrow() == Phase::Open
--- /dev/null
+++ b/crates/fakes/src/leafs.rs
@@ -0,0 +1,272 @@
+//! Leafs over HTTP/1.1, many in one process.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Method, Request, Response, StatusCode, body::Body, header::HeaderMap};
+use rattanmast_model::{
+    catalog::Snapshot,
+    leaf::{Error, Load, Name, Order, Result, Search},
+    range::Set,
+    trace,
+};
+use rattanmast_wire::{
+    http::{self, Whole},
+    leaf::Cancel,
+};
+use serde::Serialize;
+use smol_str::SmolStr;
+use tokio::{net::TcpListener, time::sleep};
+
+use crate::{
+    clock::Wall,
+    config,
+    connection::Connection,
+    data::Data,
+    exit,
+    fleet::Fleet,
+    model::{Counters, Faults, Leaf, Settings},
+    serve::{self, ADMIN_LIMIT, Answer, Closed, problem},
+};
+
+/// The largest body of a request, in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+
+/// What the process prints at start.
+#[derive(Debug, Serialize)]
+struct Listening {
+    admin: SocketAddr,
+    leafs: BTreeMap<Name, SocketAddr>,
+}
+
+/// What `GET /leafs/<name>` shows of a leaf.
+#[derive(Debug, Serialize)]
+struct View {
+    up: bool,
+    connections: u32,
+    load: Load,
+    counters: Counters,
+    faults: Faults,
+    runs: BTreeMap<SmolStr, u64>,
+    trace: Option<String>,
+}
+
+/// Serves the leafs and the admin paths for good.
+///
+/// # Errors
+///
+/// Fails if an address is taken.
+pub async fn run(config: config::Leaf) -> serve::Result<()> {
+    let data = Data::new(config.preset);
+    let settings = Settings {
+        median: config.median,
+        ..Settings::default()
+    };
+    let fleet = Fleet::new(&data, settings, Wall::System, config.seed);
+    let (admin, admin_addr) = serve::listen(config.admin).await?;
+    let served = data.leafs.leafs.iter().skip(config.first);
+    let served = served.step_by(config.step);
+    let mut leafs = BTreeMap::new();
+    let mut addrs = BTreeMap::new();
+    let mut listen = config.listen;
+    for leaf in served.take(config.leafs.unwrap_or(usize::MAX)) {
+        let (listener, addr) = serve::listen(listen).await?;
+        if listen.port() > 0 {
+            listen.set_port(listen.port().wrapping_add(1));
+        }
+        let model = fleet.leaf(&leaf.name).clone();
+        addrs.insert(leaf.name.clone(), addr);
+        leafs.insert(leaf.name.clone(), model.clone());
+        tokio::spawn(serve(listener, model));
+    }
+    log::info!("serving {} leafs", leafs.len());
+    exit::announce(&Listening {
+        admin: admin_addr,
+        leafs: addrs,
+    });
+    let leafs = Arc::new(leafs);
+    serve::forever(admin, move |request| {
+        let leafs = Arc::clone(&leafs);
+        async move { Ok(control(&leafs, request).await) }
+    })
+    .await;
+    Ok(())
+}
+
+/// Serves the connections of one leaf for good; closes those it does not accept at once.
+///
+/// A stopped leaf still listens, and closes each connection.
+pub async fn serve(listener: TcpListener, leaf: Leaf) {
+    let open = Duration::from_millis(leaf.limits().open_ms.into());
+    loop {
+        let stream = serve::accept(&listener).await;
+        match leaf.connect() {
+            Err(error) => log::debug!("leaf {}: {error}", leaf.name()),
+            Ok(connection) => {
+                let leaf = leaf.clone();
+                tokio::spawn(async move {
+                    sleep(open).await;
+                    let served = serve::connection(stream, |r| answer(&leaf, &connection, r));
+                    tokio::select! {
+                        () = connection.broken() => {}
+                        () = served => {}
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// Answers one request on `connection`.
+///
+/// # Errors
+///
+/// Returns [`Closed`] if the connection breaks instead.
+pub async fn answer<B>(leaf: &Leaf, connection: &Connection, request: Request<B>) -> Answer
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (head, body) = request.into_parts();
+    note(leaf, &head.headers);
+    let body = match http::read(body, BODY_LIMIT).await {
+        Ok(body) => body,
+        Err(error) => return Ok(malformed(&error)),
+    };
+    match (head.method, head.uri.path()) {
+        (Method::POST, "/search") => match http::parse::<Search>(&body) {
+            Ok(search) => reply(connection.search(&search).await),
+            Err(error) => Ok(malformed(&error)),
+        },
+        (Method::POST, "/orders") => match http::parse::<Order>(&body) {
+            Ok(order) => reply(connection.order(&order).await),
+            Err(error) => Ok(malformed(&error)),
+        },
+        (Method::POST, "/cancel") => match http::parse::<Cancel>(&body) {
+            Ok(cancel) => reply(connection.cancel(cancel.id).await),
+            Err(error) => Ok(malformed(&error)),
+        },
+        (Method::GET, "/health") => Ok(http::json(StatusCode::OK, &leaf.load())),
+        _ => {
+            let why = "no such path; see section 7 of docs/design.md".into();
+            Ok(http::json(StatusCode::NOT_FOUND, &Error::Failed { why }))
+        }
+    }
+}
+
+fn note(leaf: &Leaf, headers: &HeaderMap) {
+    let Some(value) = headers.get("traceparent") else {
+        return;
+    };
+    match value.to_str().unwrap_or_default().parse::<trace::Context>() {
+        Ok(context) => leaf.note(context),
+        Err(error) => log::debug!("leaf {}: {error}", leaf.name()),
+    }
+}
+
+fn malformed(error: &http::Error) -> Response<Whole> {
+    let why = SmolStr::new(error.to_string());
+    http::json(StatusCode::BAD_REQUEST, &Error::Failed { why })
+}
+
+fn reply<T: Serialize>(result: Result<T>) -> Answer {
+    let error = match result {
+        Ok(found) => return Ok(http::json(StatusCode::OK, &found)),
+        Err(error) => error,
+    };
+    let status = match error {
+        Error::Shed { .. } | Error::Leaving { .. } | Error::Expired { .. } => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Error::Gone { .. } => StatusCode::GONE,
+        Error::Failed { .. } => StatusCode::INTERNAL_SERVER_ERROR,
+        Error::Connect { .. } | Error::Full | Error::Broken { .. } => return Err(Closed),
+    };
+    Ok(http::json(status, &error))
+}
+
+/// Answers one request to the admin paths.
+///
+/// `GET /runs` adds up the real runs by key over all leafs of the process;
+/// `GET /leafs/<name>` shows a leaf; `POST /leafs/<name>/faults` replaces its
+/// faults; `POST /leafs/<name>/drain|undrain|silence|stop|restart` and
+/// `PUT /leafs/<name>/holdings` do what they say. `*` names all leafs.
+pub async fn control<B>(leafs: &BTreeMap<Name, Leaf>, request: Request<B>) -> Response<Whole>
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    if head.method == Method::GET && path == "/runs" {
+        return http::json(StatusCode::OK, &runs(leafs.values()));
+    }
+    let rest = path.strip_prefix("/leafs/").unwrap_or_default();
+    let (name, action) = rest.split_once('/').unwrap_or((rest, ""));
+    let chosen: Vec<&Leaf> = leafs
+        .iter()
+        .filter(|(n, _)| name == "*" || *n == name)
+        .map(|(_, leaf)| leaf)
+        .collect();
+    if chosen.is_empty() {
+        let error = "no such leaf in this process; GET /leafs/* lists them";
+        return problem(StatusCode::NOT_FOUND, error);
+    }
+    let result = match http::read(body, ADMIN_LIMIT).await {
+        Ok(body) if head.method != Method::GET => act(&chosen, action, &body),
+        Ok(_) => Ok(()),
+        Err(error) => Err(error.to_string()),
+    };
+    match result {
+        Ok(()) => {
+            let views = chosen.iter().map(|leaf| (leaf.name(), view(leaf)));
+            http::json(StatusCode::OK, &views.collect::<BTreeMap<_, _>>())
+        }
+        Err(error) => problem(StatusCode::BAD_REQUEST, &error),
+    }
+}
+
+fn act(leafs: &[&Leaf], action: &str, body: &Bytes) -> std::result::Result<(), String> {
+    let each = |act: &dyn Fn(&Leaf)| leafs.iter().for_each(|leaf| act(leaf));
+    match action {
+        "drain" => each(&|leaf| leaf.drain(true)),
+        "undrain" => each(&|leaf| leaf.drain(false)),
+        "silence" => each(&Leaf::silence),
+        "stop" => each(&Leaf::stop),
+        "restart" => each(&Leaf::restart),
+        "faults" => {
+            let faults: Faults = http::parse(body).map_err(|e| e.to_string())?;
+            each(&|leaf| leaf.set_faults(faults));
+        }
+        "holdings" => {
+            let held: Vec<(Snapshot, Set)> = http::parse(body).map_err(|e| e.to_string())?;
+            each(&|leaf| leaf.hold(held.clone()));
+        }
+        _ => {
+            let known = "faults, holdings, drain, undrain, silence, stop or restart";
+            return Err(format!("no such action; use one of {known}"));
+        }
+    }
+    log::info!("{action} on {} leafs", leafs.len());
+    Ok(())
+}
+
+fn view(leaf: &Leaf) -> View {
+    View {
+        up: leaf.is_up(),
+        connections: leaf.connections(),
+        load: leaf.load(),
+        counters: leaf.counters(),
+        faults: leaf.faults(),
+        runs: leaf.runs(),
+        trace: leaf.trace().map(|t| t.to_string()),
+    }
+}
+
+fn runs<'a>(leafs: impl Iterator<Item = &'a Leaf>) -> BTreeMap<SmolStr, u64> {
+    let mut sum = BTreeMap::new();
+    for (key, count) in leafs.flat_map(Leaf::runs) {
+        *sum.entry(key).or_default() += count;
+    }
+    sum
+}
--- a/crates/fakes/src/model.rs
+++ b/crates/fakes/src/model.rs
@@ -12,7 +12,7 @@
     hash::Map,
     host::Incarnation,
     leaf::{Done, Error, Found, Limits, Load, Name, Order, Result, Search},
-    range, request,
+    range, request, trace,
 };
 use smol_str::{SmolStr, format_smolstr};
 use tokio::{
@@ -55,6 +55,7 @@
     runs: BTreeMap<SmolStr, u64>,
     counters: Counters,
     last: Option<request::Id>,
+    trace: Option<trace::Context>,
 }
 
 impl Leaf {
@@ -77,6 +78,7 @@
             runs: BTreeMap::new(),
             counters: Counters::default(),
             last: None,
+            trace: None,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -162,6 +164,21 @@
         self.lock().counters
     }
 
+    /// Returns the position in the trace of the last request that named one.
+    pub fn trace(&self) -> Option<trace::Context> {
+        self.lock().trace
+    }
+
+    /// Notes the position in the trace of a request.
+    pub fn note(&self, trace: trace::Context) {
+        self.lock().trace = Some(trace);
+    }
+
+    /// Tells whether the leaf's process runs.
+    pub fn is_up(&self) -> bool {
+        self.lock().up
+    }
+
     /// Returns what the leaf says of itself.
     pub fn load(&self) -> Load {
         self.lock().load()
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,199 @@
+//! The platform's object service over HTTP/1.1.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Method, Request, Response, StatusCode, body::Body, header};
+use rattanmast_model::store::{Error, Object, Result, Store as _, VALUE_LIMIT, Version};
+use rattanmast_wire::{
+    http::{self, Whole},
+    store::Listed,
+};
+use serde::Serialize;
+
+use crate::{
+    config,
+    data::Data,
+    exit,
+    serve::{self, ADMIN_LIMIT, Answer, Closed, problem},
+    store::{Faults, Store},
+};
+
+/// The longest time that a watch waits.
+const LONGEST_WATCH: Duration = Duration::from_secs(300);
+
+/// What the process prints at start.
+#[derive(Debug, Serialize)]
+struct Listening {
+    http: SocketAddr,
+}
+
+/// Serves the object service for good.
+///
+/// # Errors
+///
+/// Fails if the address is taken.
+pub async fn run(config: config::Platform) -> serve::Result<()> {
+    let store = Store::new(config.seed);
+    store.set_latency(config.latency);
+    if let Some(preset) = config.preset {
+        for (name, value) in Data::new(preset).objects() {
+            store.put(&name, &value);
+        }
+    }
+    let (listener, http) = serve::listen(config.listen).await?;
+    exit::announce(&Listening { http });
+    log::info!("serving {} objects on {http}", store.names().len());
+    serve::forever(listener, move |request| {
+        let store = store.clone();
+        async move { answer(&store, request).await }
+    })
+    .await;
+    Ok(())
+}
+
+/// Answers one request.
+///
+/// # Errors
+///
+/// Returns [`Closed`] if the answer is lost.
+pub async fn answer<B>(store: &Store, request: Request<B>) -> Answer
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let query = head.uri.query().unwrap_or_default();
+    let name = path.strip_prefix("/objects/");
+    if name.is_some_and(|n| !valid(n)) {
+        let error = "object name must consist of letters, digits and - _ . /; rename it";
+        return Ok(problem(StatusCode::BAD_REQUEST, error));
+    }
+    match (head.method, path, name) {
+        (Method::GET, "/objects", _) => list(store, query).await,
+        (Method::GET, _, Some(name)) if query.is_empty() => read(name, store.get(name).await),
+        (Method::GET, _, Some(name)) => watch(store, name, query).await,
+        (Method::PUT, _, Some(name)) => match http::read(body, VALUE_LIMIT).await {
+            Ok(value) => put(store, name, &head.headers, &value).await,
+            Err(error) => {
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                Ok(problem(status, &error.to_string()))
+            }
+        },
+        (Method::DELETE, _, Some(name)) => match store.delete(name).await {
+            Ok(()) => Ok(http::empty(StatusCode::NO_CONTENT)),
+            Err(error) => failed(&error),
+        },
+        (Method::GET, "/calls", _) => Ok(http::json(StatusCode::OK, &store.calls())),
+        (Method::GET, "/faults", _) => Ok(http::json(StatusCode::OK, &store.faults())),
+        (Method::POST, "/faults", _) => Ok(faults(store, http::read(body, ADMIN_LIMIT).await)),
+        _ => {
+            let error = "no such path; see section 7 of docs/design.md";
+            Ok(problem(StatusCode::NOT_FOUND, error))
+        }
+    }
+}
+
+fn faults(store: &Store, body: http::Result<Bytes>) -> Response<Whole> {
+    match body.and_then(|body| http::parse::<Faults>(&body)) {
+        Ok(faults) => {
+            log::info!("faults are now {faults:?}");
+            store.set_faults(faults);
+            http::json(StatusCode::OK, &faults)
+        }
+        Err(error) => problem(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+fn valid(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_./".contains(&b);
+    !name.is_empty() && name.bytes().all(allowed)
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+async fn list(store: &Store, query: &str) -> Answer {
+    let prefix = parameter(query, "prefix").unwrap_or_default();
+    let objects = match store.list(prefix).await {
+        Ok(objects) => objects,
+        Err(error) => return failed(&error),
+    };
+    let listed: Vec<Listed> = objects
+        .into_iter()
+        .map(|object| Listed {
+            name: object.name,
+            version: object.version,
+            value: String::from_utf8_lossy(&object.value).into_owned(),
+        })
+        .collect();
+    Ok(http::json(StatusCode::OK, &listed))
+}
+
+async fn watch(store: &Store, name: &str, query: &str) -> Answer {
+    let number = |key| parameter(query, key).and_then(|v| v.parse().ok());
+    let (Some(after), Some(wait)) = (number("after"), number("wait_ms")) else {
+        let error = "query must be ?after=<version>&wait_ms=<milliseconds>; correct it";
+        return Ok(problem(StatusCode::BAD_REQUEST, error));
+    };
+    let wait = Duration::from_millis(wait).min(LONGEST_WATCH);
+    match store.watch(name, Version(after), wait).await {
+        Ok(None) => Ok(http::empty(StatusCode::NOT_MODIFIED)),
+        Ok(Some(object)) => read(name, Ok(object)),
+        Err(error) => failed(&error),
+    }
+}
+
+async fn put(store: &Store, name: &str, headers: &header::HeaderMap, value: &[u8]) -> Answer {
+    let text = |key| headers.get(key).map(|v| v.to_str().unwrap_or_default());
+    let result = match (text(header::IF_MATCH), text(header::IF_NONE_MATCH)) {
+        (None, Some("*")) => store.create(name, value).await,
+        (Some(tag), None) => match tag.trim_matches('"').parse() {
+            Ok(version) => store.update(name, Version(version), value).await,
+            Err(_) => Err(Error::Conflict { name: name.into() }),
+        },
+        // Without a condition it is a write of the platform itself, such as of its lists.
+        (None, None) => Ok(store.put(name, value)),
+        (Some(_), Some(_)) | (None, Some(_)) => {
+            let error = "send either If-Match: <etag> or If-None-Match: *";
+            return Ok(problem(StatusCode::BAD_REQUEST, error));
+        }
+    };
+    match result {
+        Ok(version) => Ok(tagged(StatusCode::OK, version, Bytes::new())),
+        Err(error) => failed(&error),
+    }
+}
+
+fn read(name: &str, result: Result<Object>) -> Answer {
+    match result {
+        Ok(object) => Ok(tagged(StatusCode::OK, object.version, object.value.into())),
+        Err(error) => {
+            log::debug!("object {name}: {error}");
+            failed(&error)
+        }
+    }
+}
+
+fn tagged(status: StatusCode, version: Version, body: Bytes) -> Response<Whole> {
+    let mut response = http::typed(status, "application/json", body);
+    let tag = format!("\"{}\"", version.0);
+    if let Ok(tag) = header::HeaderValue::try_from(tag) {
+        response.headers_mut().insert(header::ETAG, tag);
+    }
+    response
+}
+
+fn failed(error: &Error) -> Answer {
+    let status = match error {
+        Error::Conflict { .. } => StatusCode::PRECONDITION_FAILED,
+        Error::Missing { .. } => StatusCode::NOT_FOUND,
+        Error::Down { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        Error::Large { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        Error::Lost { .. } => return Err(Closed),
+    };
+    Ok(problem(status, &error.to_string()))
+}
--- /dev/null
+++ b/crates/fakes/src/proxy.rs
@@ -0,0 +1,339 @@
+//! A TCP proxy that injects faults.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use hyper::{Method, Request, Response, StatusCode, body::Body};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_model::hash;
+use rattanmast_wire::http::{self, Whole};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    config, exit,
+    serve::{self, ADMIN_LIMIT, problem},
+};
+
+/// Bytes that are forwarded at a time; a request or reply of usual size fits.
+const CHUNK: usize = 64 << 10;
+
+/// The longest time to connect to a target.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Faults of a route that can be switched on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Whether connections are closed, and new ones are not accepted.
+    pub cut: bool,
+    /// The least time by which each piece is delayed in each direction, in milliseconds.
+    pub delay_ms: u64,
+    /// Time of up to which more is added at random, in milliseconds.
+    pub jitter_ms: u64,
+    /// Whether bytes towards the target are lost; the direction stays lost for good.
+    pub drop_to_target: bool,
+    /// Whether bytes towards the client are lost; the direction stays lost for good.
+    pub drop_to_client: bool,
+    /// Whether new connections are silent from the start.
+    pub silent_new: bool,
+    /// The share of requests after which the connection is closed, from 0 to 1.
+    pub close_after_request: f64,
+    /// The share of replies that are lost, with the connection closed, from 0 to 1.
+    pub lose_reply: f64,
+}
+
+/// Which connections have gone silent for good: those with a lower number.
+type Silenced = u64;
+
+#[derive(Debug)]
+struct State {
+    faults: Faults,
+    rng: SmallRng,
+    /// The number of connections that were accepted.
+    accepted: u64,
+    /// The number of connections that are open.
+    open: u64,
+}
+
+/// A route between two addresses; clones are handles to the same one.
+#[derive(Clone, Debug)]
+pub struct Route {
+    listen: SocketAddr,
+    target: SocketAddr,
+    hold: Duration,
+    state: Arc<Mutex<State>>,
+    cut: watch::Sender<bool>,
+    silenced: watch::Sender<Silenced>,
+}
+
+/// What the admin paths show of a route.
+#[derive(Debug, Serialize)]
+struct View {
+    listen: SocketAddr,
+    target: SocketAddr,
+    faults: Faults,
+    accepted: u64,
+    open: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Listening {
+    admin: SocketAddr,
+    routes: Vec<View>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Toward {
+    Target,
+    Client,
+}
+
+/// What is to be done with a piece.
+enum Fate {
+    Forward(Duration),
+    Lose,
+    CloseAfter,
+    Close,
+}
+
+/// Serves the routes and the admin paths for good.
+///
+/// # Errors
+///
+/// Fails if an address is taken.
+pub async fn run(config: config::Faults) -> serve::Result<()> {
+    let (listener, admin) = serve::listen(config.admin).await?;
+    let mut routes = Vec::new();
+    for (index, (listen, target)) in (0_u64..).zip(config.routes) {
+        let seed = hash::mix(config.seed ^ hash::mix(index));
+        routes.push(Route::start(listen, target, config.hold, seed).await?);
+    }
+    exit::announce(&Listening {
+        admin,
+        routes: routes.iter().map(Route::view).collect(),
+    });
+    let routes = Arc::new(routes);
+    serve::forever(listener, move |request| {
+        let routes = Arc::clone(&routes);
+        async move { Ok(control(&routes, request).await) }
+    })
+    .await;
+    Ok(())
+}
+
+/// Answers one request to the admin paths.
+///
+/// `GET /routes` shows all routes; `POST /routes/<index>/faults` replaces the
+/// faults of a route; `POST /routes/<index>/silence` makes its open connections
+/// silent for good. `*` names all routes.
+pub async fn control<B>(routes: &[Route], request: Request<B>) -> Response<Whole>
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (head, body) = request.into_parts();
+    let path = head.uri.path().strip_prefix("/routes").unwrap_or_default();
+    let (index, action) = path
+        .trim_start_matches('/')
+        .split_once('/')
+        .unwrap_or(("*", ""));
+    let chosen: Vec<&Route> = match index.parse::<usize>() {
+        Ok(index) => routes.get(index).into_iter().collect(),
+        Err(_) if index == "*" => routes.iter().collect(),
+        Err(_) => Vec::new(),
+    };
+    let faults = http::read(body, ADMIN_LIMIT).await;
+    let faults = faults.and_then(|body| http::parse::<Faults>(&body));
+    match (head.method, action, faults) {
+        (Method::GET, "", _) => {}
+        (Method::POST, "silence", _) => chosen.iter().for_each(|route| route.silence()),
+        (Method::POST, "faults", Ok(faults)) => {
+            chosen.iter().for_each(|route| route.set_faults(faults));
+        }
+        (Method::POST, "faults", Err(error)) => {
+            return problem(StatusCode::BAD_REQUEST, &error.to_string());
+        }
+        _ => {
+            let error = "no such path; use /routes/<index>/faults or /routes/<index>/silence";
+            return problem(StatusCode::NOT_FOUND, error);
+        }
+    }
+    let views: Vec<View> = chosen.iter().map(|route| route.view()).collect();
+    http::json(StatusCode::OK, &views)
+}
+
+impl Route {
+    /// Listens on `listen` and forwards to `target` for good.
+    ///
+    /// A silent connection is kept open towards the target for `hold` after its client has gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is taken.
+    pub async fn start(
+        listen: SocketAddr,
+        target: SocketAddr,
+        hold: Duration,
+        seed: u64,
+    ) -> serve::Result<Self> {
+        let (listener, listen) = serve::listen(listen).await?;
+        let route = Self {
+            listen,
+            target,
+            hold,
+            state: Arc::new(Mutex::new(State {
+                faults: Faults::default(),
+                rng: SmallRng::seed_from_u64(seed),
+                accepted: 0,
+                open: 0,
+            })),
+            cut: watch::Sender::new(false),
+            silenced: watch::Sender::new(0),
+        };
+        tokio::spawn(route.clone().accept(listener));
+        Ok(route)
+    }
+
+    /// Returns where the route listens.
+    pub const fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Replaces the faults that are switched on.
+    pub fn set_faults(&self, faults: Faults) {
+        log::info!("faults of {} are now {faults:?}", self.listen);
+        self.lock().faults = faults;
+        self.cut.send_replace(faults.cut);
+    }
+
+    /// Makes all open connections silent for good; new ones work.
+    pub fn silence(&self) {
+        log::info!("open connections of {} go silent", self.listen);
+        let accepted = self.lock().accepted;
+        self.silenced.send_replace(accepted);
+    }
+
+    fn view(&self) -> View {
+        let state = self.lock();
+        View {
+            listen: self.listen,
+            target: self.target,
+            faults: state.faults,
+            accepted: state.accepted,
+            open: state.open,
+        }
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let client = serve::accept(&listener).await;
+            let (number, silent) = {
+                let mut state = self.lock();
+                if state.faults.cut {
+                    continue;
+                }
+                state.accepted += 1;
+                state.open += 1;
+                (state.accepted - 1, state.faults.silent_new)
+            };
+            let route = self.clone();
+            tokio::spawn(async move {
+                route.carry(client, number, silent).await;
+                route.lock().open -= 1;
+            });
+        }
+    }
+
+    async fn carry(&self, client: TcpStream, number: u64, silent: bool) {
+        let target = match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.target)).await {
+            Ok(Ok(target)) => target,
+            Ok(Err(error)) => return log::debug!("cannot connect to {}: {error}", self.target),
+            Err(_) => return log::debug!("cannot connect to {} in time", self.target),
+        };
+        if let Err(error) = target.set_nodelay(true) {
+            log::debug!("connection to {} broke: {error}", self.target);
+        }
+        let (mut from_client, mut to_client) = client.into_split();
+        let (mut from_target, mut to_target) = target.into_split();
+        let mut cut = self.cut.subscribe();
+        let mut silenced = self.silenced.subscribe();
+        let there = self.pump(&mut from_client, &mut to_target, Toward::Target);
+        let back = self.pump(&mut from_target, &mut to_client, Toward::Client);
+        tokio::select! {
+            biased;
+            _ = cut.wait_for(|cut| *cut) => return,
+            _ = silenced.wait_for(|below| silent || number < *below) => {}
+            () = async { tokio::select! { () = there => {}, () = back => {} } } => return,
+        }
+        // The state of the connection is lost on the path: no byte and no close gets through.
+        // Reading on keeps the client's socket usable until the client closes it.
+        let mut buffer = vec![0; CHUNK];
+        let client = async { while from_client.read(&mut buffer).await.is_ok_and(|n| n > 0) {} };
+        let gone = tokio::select! {
+            _ = cut.wait_for(|cut| *cut) => false,
+            () = client => true,
+        };
+        if gone {
+            drop((from_client, to_client));
+            sleep(self.hold).await;
+        }
+    }
+
+    /// Forwards bytes in one direction until one side closes or a fault closes the connection.
+    async fn pump(&self, from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, toward: Toward) {
+        let mut buffer = vec![0; CHUNK];
+        let mut lost = false;
+        while let Ok(length @ 1..) = from.read(&mut buffer).await {
+            let fate = self.fate(toward);
+            lost |= matches!(fate, Fate::Lose);
+            match fate {
+                _ if lost => continue,
+                Fate::Forward(delay) if !delay.is_zero() => sleep(delay).await,
+                Fate::Close => return,
+                Fate::Forward(_) | Fate::Lose | Fate::CloseAfter => {}
+            }
+            let written = to.write_all(&buffer[..length]).await;
+            if written.is_err() || matches!(fate, Fate::CloseAfter) {
+                return;
+            }
+        }
+    }
+
+    fn fate(&self, toward: Toward) -> Fate {
+        let mut state = self.lock();
+        let faults = state.faults;
+        let chance =
+            |rng: &mut SmallRng, share: f64| share > 0.0 && rng.random_bool(share.min(1.0));
+        match toward {
+            Toward::Target if faults.drop_to_target => Fate::Lose,
+            Toward::Client if faults.drop_to_client => Fate::Lose,
+            Toward::Target if chance(&mut state.rng, faults.close_after_request) => {
+                Fate::CloseAfter
+            }
+            Toward::Client if chance(&mut state.rng, faults.lose_reply) => Fate::Close,
+            Toward::Target | Toward::Client => {
+                let jitter = state.rng.random_range(0..=faults.jitter_ms);
+                Fate::Forward(Duration::from_millis(
+                    faults.delay_ms.saturating_add(jitter),
+                ))
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let lock = self.state.lock();
+        lock.expect("no code panics while it holds the lock")
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/http.rs
@@ -0,0 +1,303 @@
+//! Tests of the stand-ins over sockets, through the clients that hosts use.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use rattanmast_fakes::{
+    clock::Wall,
+    data::{Data, local},
+    leafs,
+    memory::Fleet,
+    model::{self, Settings},
+    platform,
+    proxy::{self, Route},
+    serve,
+    store::{self, Store},
+};
+use rattanmast_model::{
+    catalog::Snapshot,
+    host::Incarnation,
+    leaf::{self, Connector as _, Error, Link as _},
+    preset::Preset,
+    range::SPACE,
+    rank::Rank,
+    request,
+    store::{Error as StoreError, Store as _},
+    trace,
+};
+use rattanmast_wire::{leaf::Connector, store::Client};
+use tokio::time::sleep;
+
+const COLLECTION: &str = "blade-profile-registry";
+
+/// Long enough for any step on a busy machine; never the time that a step should take.
+const LONG: Duration = Duration::from_secs(30);
+
+/// A wait after which nothing must have happened; a longer one only finds more faults.
+const SHORT: Duration = Duration::from_millis(300);
+
+async fn serve_platform() -> (Store, SocketAddr) {
+    let store = Store::new(1);
+    let (listener, addr) = serve::listen(local(0)).await.unwrap();
+    let served = store.clone();
+    tokio::spawn(serve::forever(listener, move |request| {
+        let store = served.clone();
+        async move { platform::answer(&store, request).await }
+    }));
+    (store, addr)
+}
+
+async fn serve_leaf() -> (model::Leaf, leaf::Leaf) {
+    let data = Data::new(Preset::norway());
+    let fleet = Fleet::new(&data, Settings::default(), Wall::System, 1);
+    let (listener, addr) = serve::listen(local(0)).await.unwrap();
+    let mut leaf = data.leafs.leafs[0].clone();
+    leaf.addr = addr;
+    let model = fleet.leaf(&leaf.name).clone();
+    tokio::spawn(leafs::serve(listener, model.clone()));
+    (model, leaf)
+}
+
+async fn route(target: SocketAddr) -> Route {
+    Route::start(local(0), target, Duration::from_secs(1), 1)
+        .await
+        .unwrap()
+}
+
+fn id(sequence: u64) -> request::Id {
+    request::Id {
+        host: 1,
+        incarnation: Incarnation(1),
+        sequence,
+    }
+}
+
+fn search(sequence: u64, snapshot: u64) -> leaf::Search {
+    leaf::Search {
+        id: id(sequence),
+        collection: COLLECTION.into(),
+        snapshot: Snapshot(snapshot),
+        ranges: vec![SPACE],
+        text: "".into(),
+        rank: Rank::Urgent,
+        budget_ms: 30_000,
+        trace: None,
+    }
+}
+
+fn order(sequence: u64, key: &str) -> leaf::Order {
+    leaf::Order {
+        id: id(sequence),
+        key: key.into(),
+        collection: COLLECTION.into(),
+        action: "sharpen".into(),
+        record: "r-0001".into(),
+        rank: Rank::Urgent,
+        not_after_ms: Wall::System.now_ms() + 60_000,
+        trace: None,
+    }
+}
+
+/// Waits until `done`, for any time that a busy machine may need.
+async fn until(what: &str, done: impl Fn() -> bool) {
+    let reached = async {
+        while !done() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let reached = tokio::time::timeout(LONG, reached).await;
+    assert!(reached.is_ok(), "{what} did not happen");
+}
+
+/// Guards against a server whose answers the hosts' client takes for something else.
+#[tokio::test]
+async fn platform_answers_the_client() {
+    let (store, addr) = serve_platform().await;
+    let client = Client::new(addr);
+    let missing = client.get("claims/0/1").await.unwrap_err();
+    assert!(matches!(missing, StoreError::Missing { .. }));
+    let first = client.create("claims/0/1", b"{}").await.unwrap();
+    let twice = client.create("claims/0/1", b"[]").await.unwrap_err();
+    assert!(matches!(twice, StoreError::Conflict { .. }));
+    let second = client.update("claims/0/1", first, b"[]").await.unwrap();
+    let stale = client.update("claims/0/1", first, b"1").await.unwrap_err();
+    assert!(matches!(stale, StoreError::Conflict { .. }));
+    let object = client.get("claims/0/1").await.unwrap();
+    assert_eq!(
+        (object.version, object.value.as_slice()),
+        (second, &b"[]"[..])
+    );
+    let listed = client.list("claims/").await.unwrap();
+    assert_eq!(listed, [object]);
+    let unchanged = client.watch("claims/0/1", second, Duration::ZERO).await;
+    assert_eq!(unchanged.unwrap(), None);
+    let (changed, ()) = tokio::join!(client.watch("claims/0/1", second, LONG), async {
+        store.put("claims/0/1", b"2");
+    });
+    assert_eq!(changed.unwrap().unwrap().value, b"2");
+    client.delete("claims/0/1").await.unwrap();
+    assert!(store.peek("claims/0/1").is_none());
+}
+
+/// Guards against an outage or lost answer that the hosts' client reports as the other.
+#[tokio::test]
+async fn platform_faults_reach_the_client() {
+    let (store, addr) = serve_platform().await;
+    let client = Client::new(addr);
+    let lose = store::Faults {
+        lose_next: 1,
+        ..store::Faults::default()
+    };
+    store.set_faults(lose);
+    let lost = client.create("a", b"1").await.unwrap_err();
+    assert!(matches!(lost, StoreError::Lost { .. }));
+    assert_eq!(store.peek("a").unwrap().value, b"1");
+    let down = store::Faults {
+        down: true,
+        ..store::Faults::default()
+    };
+    store.set_faults(down);
+    let down = client.create("b", b"1").await.unwrap_err();
+    assert!(matches!(down, StoreError::Down { .. }));
+    assert!(store.peek("b").is_none());
+}
+
+/// Guards against leaf replies that the hosts' connector takes for something else.
+#[tokio::test]
+async fn leaf_answers_the_connector() {
+    let (model, leaf) = serve_leaf().await;
+    let mut link = Connector.open(&leaf).await.unwrap();
+    let context: trace::Context = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+        .parse()
+        .unwrap();
+    let traced = leaf::Search {
+        trace: Some(context),
+        ..search(1, 1)
+    };
+    let found = link.search(&traced).await.unwrap();
+    assert_eq!((found.id, found.snapshot), (id(1), Snapshot(1)));
+    assert!(found.parts[0].records > 0);
+    assert_eq!(model.trace(), Some(context));
+    let gone = link.search(&search(2, 9)).await.unwrap_err();
+    assert!(matches!(gone, Error::Gone { holds, .. } if holds == [Snapshot(1)]));
+    link.order(&order(3, "once")).await.unwrap();
+    let late = leaf::Order {
+        not_after_ms: 1,
+        ..order(4, "late")
+    };
+    let late = link.order(&late).await.unwrap_err();
+    assert!(matches!(late, Error::Expired { .. }));
+    model.drain(true);
+    let leaving = link.search(&search(5, 1)).await.unwrap_err();
+    assert!(matches!(leaving, Error::Leaving { load } if load.draining));
+    assert_eq!(
+        model.runs().into_iter().collect::<Vec<_>>(),
+        [("once".into(), 1)]
+    );
+}
+
+/// Guards against connections beyond the limit, and against work that goes on after the client left.
+#[tokio::test]
+async fn leaf_limits_connections_and_stops_cancelled_work() {
+    let (model, leaf) = serve_leaf().await;
+    let slow = model::Faults {
+        factor: 100_000.0,
+        ..model::Faults::default()
+    };
+    model.set_faults(slow);
+    let mut links = Vec::new();
+    for _ in 0..25 {
+        links.push(Connector.open(&leaf).await.unwrap());
+    }
+    until("25 connections", || model.connections() == 25).await;
+    let mut extra = Connector.open(&leaf).await.unwrap();
+    let refused = extra.search(&search(1, 1)).await.unwrap_err();
+    assert!(matches!(
+        refused,
+        Error::Connect { .. } | Error::Broken { .. }
+    ));
+    let mut first = links.pop().unwrap();
+    let wanted = search(2, 1);
+    let work = tokio::spawn(async move { first.search(&wanted).await });
+    until("a search that runs", || model.counters().searches == 1).await;
+    work.abort();
+    until("a search that was dropped", || {
+        model.counters().cancelled == 1
+    })
+    .await;
+    let mut second = links.pop().unwrap();
+    let wanted = search(3, 1);
+    let work = tokio::spawn(async move { second.search(&wanted).await });
+    until("a second search", || model.counters().searches == 2).await;
+    links[0].cancel(id(3)).await.unwrap();
+    assert!(matches!(work.await.unwrap(), Err(Error::Failed { .. })));
+    drop(links);
+    until("closed connections", || model.connections() == 0).await;
+}
+
+/// Guards against a proxy that breaks what it should pass on, or passes on what it should lose.
+#[tokio::test]
+async fn proxy_cuts_and_loses() {
+    let (model, mut leaf) = serve_leaf().await;
+    let route = route(leaf.addr).await;
+    leaf.addr = route.listen();
+    let mut link = Connector.open(&leaf).await.unwrap();
+    link.order(&order(1, "passed")).await.unwrap();
+    let lose = proxy::Faults {
+        lose_reply: 1.0,
+        ..proxy::Faults::default()
+    };
+    route.set_faults(lose);
+    let lost = link.order(&order(2, "lost")).await.unwrap_err();
+    assert!(matches!(lost, Error::Broken { .. }));
+    let close = proxy::Faults {
+        close_after_request: 1.0,
+        ..proxy::Faults::default()
+    };
+    route.set_faults(close);
+    let mut link = Connector.open(&leaf).await.unwrap();
+    let closed = link.order(&order(3, "closed")).await.unwrap_err();
+    assert!(matches!(closed, Error::Broken { .. }));
+    until("two orders", || model.runs().len() >= 2).await;
+    assert_eq!(model.runs()["passed"], 1);
+    assert_eq!(model.runs()["lost"], 1);
+    let cut = proxy::Faults {
+        cut: true,
+        ..proxy::Faults::default()
+    };
+    route.set_faults(cut);
+    let opened = Connector.open(&leaf).await;
+    let reached = match opened {
+        Ok(mut link) => link.search(&search(4, 1)).await.is_ok(),
+        Err(_) => false,
+    };
+    assert!(!reached);
+    route.set_faults(proxy::Faults::default());
+    let mut link = Connector.open(&leaf).await.unwrap();
+    link.search(&search(5, 1)).await.unwrap();
+}
+
+/// Guards against a silent connection that answers, or whose silence spreads to new ones.
+#[tokio::test]
+async fn proxy_silences_connections() {
+    let (model, mut leaf) = serve_leaf().await;
+    let route = route(leaf.addr).await;
+    leaf.addr = route.listen();
+    let mut old = Connector.open(&leaf).await.unwrap();
+    old.search(&search(1, 1)).await.unwrap();
+    route.silence();
+    let mut new = Connector.open(&leaf).await.unwrap();
+    let wanted = order(2, "silent");
+    let silent = tokio::time::timeout(SHORT, old.order(&wanted));
+    let (silent, found) = tokio::join!(silent, async {
+        let wanted = search(3, 1);
+        new.search(&wanted).await
+    });
+    assert!(silent.is_err());
+    found.unwrap();
+    drop(old);
+    assert!(model.runs().is_empty());
+    // The proxy keeps its end towards the leaf open until the hold has passed.
+    until("the end of the hold", || model.connections() == 1).await;
+}
