--- /dev/null
+++ b/crates/try/src/installation.rs
@@ -0,0 +1,146 @@
+//! An installation on loopback ports.
+
+use std::{io, time::Duration};
+
+use rattanmast_fakes::{
+    behavior::Settings,
+    clock::Wall,
+    data::{Data, local},
+    fleet::Fleet,
+    leafs, platform, serve,
+    store::Store,
+};
+use rattanmast_host::{Host, Listeners, config};
+use rattanmast_model::preset::Preset;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why an installation cannot start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// No port could be bound.
+    #[snafu(display("no loopback port can be bound ({source}); raise the file limit"))]
+    Port {
+        /// What the system returned.
+        source: io::Error,
+    },
+    /// A host could not be set up.
+    #[snafu(display("{source}"))]
+    Host {
+        /// Why.
+        source: rattanmast_host::host::Error,
+    },
+}
+
+/// A platform, leafs and hosts that run in this process.
+pub struct Installation {
+    /// Names, addresses and records.
+    pub data: Data,
+    /// The platform's objects.
+    pub store: Store,
+    /// The platform's address.
+    pub platform: std::net::SocketAddr,
+    /// The leafs.
+    pub fleet: Fleet,
+    /// The entry hosts.
+    pub hosts: Vec<Host>,
+}
+
+impl Installation {
+    /// Starts an installation of the sizes `preset`, without a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if ports cannot be bound.
+    pub async fn start(preset: Preset, seed: u64, traces: &config::Traces) -> Result<Self> {
+        let mut data = Data::new(preset);
+        let sockets = leaf_sockets(&mut data).await.context(PortSnafu)?;
+        let fleet = Fleet::new(&data, Settings::default(), Wall::System, seed);
+        for (listener, leaf) in sockets.into_iter().zip(&data.leafs.leafs) {
+            tokio::spawn(leafs::serve(listener, fleet.leaf(&leaf.name).clone()));
+        }
+        let listeners = host_sockets(&mut data).await?;
+
+        let store = Store::new(seed);
+        let objects = data.objects().into_iter();
+        for (name, value) in objects.filter(|(name, _)| !name.starts_with("config/")) {
+            store.put(&name, &value);
+        }
+        let listener = TcpListener::bind(local(0)).await.context(PortSnafu)?;
+        let platform = listener.local_addr().context(PortSnafu)?;
+        let objects = store.clone();
+        tokio::spawn(serve::forever(listener, move |request| {
+            let objects = objects.clone();
+            async move { platform::answer(&objects, request).await }
+        }));
+
+        let seeds: Vec<_> = data.hosts.iter().map(|host| host.exchange).collect();
+        let hosts = data.hosts.iter().zip(listeners).zip(seed..);
+        let hosts = hosts.map(|((host, listeners), seed)| {
+            let config = config::Config {
+                host: host.clone(),
+                platform,
+                seeds: seeds.clone(),
+                lame_duck: Duration::from_millis(200),
+                longest_stop: Duration::from_secs(10),
+                traces: traces.clone(),
+                seed,
+            };
+            Host::start(config, listeners).context(HostSnafu)
+        });
+        Ok(Self {
+            hosts: hosts.collect::<Result<_>>()?,
+            data,
+            store,
+            platform,
+            fleet,
+        })
+    }
+
+    /// Waits until all hosts serve.
+    pub async fn ready(&mut self) {
+        for host in &mut self.hosts {
+            host.ready().await;
+        }
+    }
+
+    /// Stops all hosts gracefully.
+    pub async fn stop(self) {
+        let stops: Vec<_> = self
+            .hosts
+            .into_iter()
+            .map(|h| tokio::spawn(h.stop()))
+            .collect();
+        for stop in stops {
+            if let Err(error) = stop.await {
+                log::error!("a host did not stop: {error}");
+            }
+        }
+    }
+}
+
+/// Binds a port for each leaf and notes it in `data`.
+async fn leaf_sockets(data: &mut Data) -> io::Result<Vec<TcpListener>> {
+    let mut sockets = Vec::with_capacity(data.leafs.leafs.len());
+    for leaf in &mut data.leafs.leafs {
+        let listener = TcpListener::bind(local(0)).await?;
+        leaf.addr = listener.local_addr()?;
+        sockets.push(listener);
+    }
+    Ok(sockets)
+}
+
+/// Binds the ports of each host and notes them in `data`.
+async fn host_sockets(data: &mut Data) -> Result<Vec<Listeners>> {
+    let mut sockets = Vec::with_capacity(data.hosts.len());
+    for host in &mut data.hosts {
+        (host.http, host.hop, host.exchange) = (local(0), local(0), local(0));
+        let listeners = Listeners::bind(host).await.context(HostSnafu)?;
+        [host.http, host.hop, host.exchange] = listeners.addresses().context(PortSnafu)?;
+        sockets.push(listeners);
+    }
+    Ok(sockets)
+}
