Send the remedy of a problem document once

Cause: tests with real processes could not read a refusal: the JSON had the field `remedy` twice, once of the document and once of its flattened outcome. Change: the field of the document is gone; the outcome carries the remedy.

--- a/crates/host/src/problem.rs
+++ b/crates/host/src/problem.rs
@@ -59,15 +59,10 @@
 
     /// Returns the answer to the caller.
     pub fn response(self) -> Response<Whole> {
-        let remedy = match &self.outcome {
-            Outcome::NotRun { remedy, .. } | Outcome::Unknown { remedy } => remedy.clone(),
-            Outcome::Done { .. } | Outcome::AlreadyDone { .. } => SmolStr::default(),
-        };
         let problem = Problem {
             title: self.status.canonical_reason().unwrap_or("refused").into(),
             status: self.status.as_u16(),
             detail: self.detail,
-            remedy,
             outcome: self.outcome,
         };
         let body = http::encode(&problem);
--- /dev/null
+++ b/crates/host/tests/env/mod.rs
@@ -0,0 +1,399 @@
+//! Real processes of a small installation: platform, leafs, proxy and hosts.
+
+use std::{
+    collections::BTreeMap,
+    fs::{self, File},
+    io::{BufRead as _, BufReader},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU16, AtomicU64, Ordering},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, body::Incoming, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use rattanmast_fakes::data::{self, Data, local};
+use rattanmast_model::{host::Host, outcome::Outcome, preset::Preset, rank::Rank};
+use rattanmast_wire::{api, http};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tokio::{sync::SemaphorePermit, time::sleep};
+
+/// Long enough for any step on a busy machine; never the time that a step should take.
+pub const LONG: Duration = Duration::from_secs(60);
+
+/// The time for a single request, as a caller would set it.
+const TIMEOUT_MS: u32 = 2_000;
+
+/// Installations at a time, so that a busy machine does not stall the processes of each.
+static ROOM: tokio::sync::Semaphore = tokio::sync::Semaphore::const_new(2);
+
+/// The next port to try; below the range from which the system takes ports for connections.
+static PORT: AtomicU16 = AtomicU16::new(0);
+
+/// A process that is killed when it is dropped.
+pub struct Process {
+    child: Child,
+    /// The line that the process printed at start.
+    line: Value,
+}
+
+impl Process {
+    fn start(env: &Path, name: &str, args: &[String], speaks: bool) -> Self {
+        let host = Path::new(env!("CARGO_BIN_EXE_rattanmast-host"));
+        let program = name.split('.').next().unwrap();
+        let path = host.with_file_name(program);
+        assert!(path.exists(), "{path:?} is missing; run cargo build first");
+        let log = File::create(env.join(name)).unwrap();
+        let child = Command::new(path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(if speaks {
+                Stdio::piped()
+            } else {
+                Stdio::null()
+            })
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let mut process = Self {
+            child,
+            line: Value::Null,
+        };
+        if let Some(stdout) = process.child.stdout.take() {
+            let mut line = String::new();
+            BufReader::new(stdout).read_line(&mut line).unwrap();
+            process.line = serde_json::from_str(&line).unwrap();
+        }
+        process
+    }
+
+    /// Sends the signal `name`, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(sent.unwrap().success(), "kill -s {name} {pid}");
+    }
+
+    /// Kills the process with SIGKILL.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until the process has ended.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let ended = async {
+            loop {
+                match self.child.try_wait().unwrap() {
+                    Some(status) => return status,
+                    None => sleep(Duration::from_millis(20)).await,
+                }
+            }
+        };
+        tokio::time::timeout(LONG, ended).await.unwrap()
+    }
+
+    fn addr(&self, pointer: &str) -> SocketAddr {
+        let addr = self.line.pointer(pointer).and_then(Value::as_str);
+        addr.unwrap().parse().unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already; there is nothing else to do for it.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A small installation.
+pub struct Env {
+    pub data: Data,
+    pub hosts: Vec<Process>,
+    pub platform: Process,
+    /// The first and the second replica of each service.
+    pub leafs: Vec<Process>,
+    pub proxy: Option<Process>,
+    pub http: Client<HttpConnector, Full<Bytes>>,
+    _room: SemaphorePermit<'static>,
+}
+
+/// An answer to a search.
+pub type Found = Result<api::Found, Outcome>;
+
+impl Env {
+    /// Starts an installation with three hosts and waits until all of them serve.
+    ///
+    /// If `proxied`, the hosts reach the leafs through a proxy with a route to each.
+    pub async fn start(name: &str, proxied: bool) -> Self {
+        let room = ROOM.acquire().await.unwrap();
+        let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&logs).unwrap();
+        let mut preset = Preset::norway();
+        preset.hosts = 3;
+        let mut data = Data::new(preset);
+        let leafs = start_leafs(&logs, &mut data);
+        let proxy = proxied.then(|| start_proxy(&logs, &mut data));
+        for host in &mut data.hosts {
+            (host.http, host.hop, host.exchange) = (free_port(), free_port(), free_port());
+        }
+        let args = ["--port=0"].map(str::to_owned);
+        let platform = Process::start(&logs, "rattanmast-platform", &args, true);
+        let store = platform.addr("/http");
+        let http = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+        let mut env = Self {
+            data,
+            hosts: Vec::new(),
+            platform,
+            leafs,
+            proxy,
+            http,
+            _room: room,
+        };
+        for (name, value) in env.data.objects() {
+            let path = format!("/objects/{name}");
+            let put = env.call(Method::PUT, store, &path, value).await;
+            assert_eq!(put.unwrap().0, StatusCode::OK);
+        }
+        for host in &env.data.hosts {
+            let process = start_host(&logs, host, store, &env.data);
+            env.hosts.push(process);
+        }
+        for host in 0..env.hosts.len() {
+            env.until("a host that is ready", async |e| e.ready(host).await)
+                .await;
+        }
+        env
+    }
+
+    /// Waits until `done`, for any time that a busy machine may need.
+    pub async fn until(&self, what: &str, mut done: impl AsyncFnMut(&Self) -> bool) {
+        let reached = async {
+            while !done(self).await {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let reached = tokio::time::timeout(LONG, reached).await;
+        assert!(reached.is_ok(), "there was not {what}");
+    }
+
+    /// Tells whether the balancer would send requests to `host`.
+    pub async fn ready(&self, host: usize) -> bool {
+        let addr = self.data.hosts[host].http;
+        let answer = self.call(Method::GET, addr, "/readyz", Vec::new()).await;
+        answer.is_ok_and(|(status, ..)| status == StatusCode::OK)
+    }
+
+    /// Runs a search for `text` over the preset's first collection.
+    ///
+    /// # Errors
+    ///
+    /// The outer error is a connection that broke, the inner one a refusal.
+    pub async fn search(&self, host: usize, text: &str) -> Result<Found, String> {
+        let path = format!("/v1/searches/{}", self.data.preset.searched);
+        let body = json!({"text": text, "rank": Rank::Urgent, "timeout_ms": TIMEOUT_MS});
+        let (status, _, body) = self.ask(host, &path, None, &body).await?;
+        Ok(match status {
+            StatusCode::OK => Ok(parse(&body)),
+            _ => Err(parse(&body)),
+        })
+    }
+
+    /// Sends an order with `key`.
+    ///
+    /// # Errors
+    ///
+    /// A connection that broke.
+    pub async fn order(&self, host: usize, key: &str) -> Result<Outcome, String> {
+        let path = format!("/v1/orders/{}", self.data.preset.ordered);
+        let body = json!({"action": "sharpen", "record": "r-0001", "rank": Rank::Urgent,
+            "timeout_ms": TIMEOUT_MS});
+        let (_, outcome, body) = self.ask(host, &path, Some(key), &body).await?;
+        let parsed: Outcome = parse(&body);
+        assert_eq!(outcome.as_deref(), Some(parsed.name()));
+        Ok(parsed)
+    }
+
+    /// Returns a ticket of `host`.
+    pub async fn ticket(&self, host: usize) -> String {
+        let answer = self.ask(host, "/v1/tickets", None, &Value::Null).await;
+        parse::<api::Ticket>(&answer.unwrap().2).ticket.to_string()
+    }
+
+    /// Returns how often the order with `key` really ran on all leafs that are up.
+    pub async fn runs(&self, key: &str) -> u64 {
+        let mut sum = 0;
+        for leafs in &self.leafs {
+            let addr = leafs.addr("/admin");
+            let Ok((_, _, body)) = self.call(Method::GET, addr, "/runs", Vec::new()).await else {
+                continue;
+            };
+            let runs: BTreeMap<String, u64> = parse(&body);
+            sum += runs.get(key).copied().unwrap_or_default();
+        }
+        sum
+    }
+
+    /// Posts to an admin path of a stand-in.
+    pub async fn admin(&self, process: &Process, path: &str, body: Value) {
+        let pointer = if process.line.get("admin").is_some() {
+            "/admin"
+        } else {
+            "/http"
+        };
+        let body = body.to_string().into_bytes();
+        let call = self.call(Method::POST, process.addr(pointer), path, body);
+        assert_eq!(call.await.unwrap().0, StatusCode::OK, "{path}");
+    }
+
+    async fn ask(
+        &self,
+        host: usize,
+        path: &str,
+        key: Option<&str>,
+        body: &Value,
+    ) -> Result<(StatusCode, Option<String>, Bytes), String> {
+        let mut request = self
+            .request(Method::POST, self.data.hosts[host].http, path)
+            .header(
+                header::AUTHORIZATION,
+                format!("Bearer {}", data::key("bench")),
+            );
+        if let Some(key) = key {
+            request = request.header(api::IDEMPOTENCY_KEY, key);
+        }
+        let body = Full::new(Bytes::from(body.to_string()));
+        self.send(request.body(body).unwrap()).await
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Option<String>, Bytes), String> {
+        let request = self.request(method, addr, path);
+        self.send(request.body(Full::new(body.into())).unwrap())
+            .await
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+    ) -> hyper::http::request::Builder {
+        let uri = format!("http://{addr}{path}");
+        Request::builder().method(method).uri(uri)
+    }
+
+    /// Sends `request`; a connection without an answer counts as broken in the end.
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Option<String>, Bytes), String> {
+        let answered = async {
+            let response = self.http.request(request).await;
+            let response: hyper::Response<Incoming> = response.map_err(|e| format!("{e:?}"))?;
+            let status = response.status();
+            let outcome = response.headers().get(api::OUTCOME).cloned();
+            let outcome = outcome.map(|o| o.to_str().unwrap().to_owned());
+            let body = http::read(response.into_body(), 8 << 20).await;
+            body.map(|body| (status, outcome, body))
+                .map_err(|e| e.to_string())
+        };
+        let answer = tokio::time::timeout(LONG, answered).await;
+        answer.unwrap_or_else(|elapsed| Err(elapsed.to_string()))
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> T {
+    let parsed = http::parse(body);
+    parsed.unwrap_or_else(|e| panic!("{e}: {}", String::from_utf8_lossy(body)))
+}
+
+/// Returns a new idempotency key: a UUIDv7.
+pub fn key() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let (ms, number) = (now.as_millis(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let pid = std::process::id();
+    format!(
+        "{:08x}-{:04x}-7000-8000-{:04x}{number:08x}",
+        ms >> 16,
+        ms & 0xffff,
+        pid & 0xffff
+    )
+}
+
+/// Returns an address that nobody listens on.
+fn free_port() -> SocketAddr {
+    let first = u16::try_from(std::process::id() % 200 * 80).unwrap();
+    let mut tries =
+        (0..2_000).map(|_| 12_000 + (first + PORT.fetch_add(1, Ordering::Relaxed)) % 16_000);
+    let free = tries.find(|port| TcpListener::bind(local(*port)).is_ok());
+    local(free.unwrap())
+}
+
+/// Starts the leafs in two processes, one for each replica of the sharded services.
+fn start_leafs(logs: &Path, data: &mut Data) -> Vec<Process> {
+    let processes: Vec<Process> = (0..2)
+        .map(|first| {
+            let first = format!("--first={first}");
+            let args = ["--port=0", "--admin-port=0", "--step=2", &first].map(str::to_owned);
+            Process::start(logs, &format!("rattanmast-leaf.{first}"), &args, true)
+        })
+        .collect();
+    for (leaf, process) in data.leafs.leafs.iter_mut().zip([0, 1].into_iter().cycle()) {
+        leaf.addr = processes[process].addr(&format!("/leafs/{}", leaf.name));
+    }
+    processes
+}
+
+/// Starts a proxy with a route to each leaf, in the order of the leafs.
+fn start_proxy(logs: &Path, data: &mut Data) -> Process {
+    let leafs = &mut data.leafs.leafs;
+    let routes: Vec<String> = leafs
+        .iter()
+        .map(|l| format!("127.0.0.1:0={}", l.addr))
+        .collect();
+    let args = [
+        "--port=0".to_owned(),
+        format!("--routes={}", routes.join(",")),
+    ];
+    let proxy = Process::start(logs, "rattanmast-faults", &args, true);
+    for (index, leaf) in leafs.iter_mut().enumerate() {
+        leaf.addr = proxy.addr(&format!("/routes/{index}/listen"));
+    }
+    proxy
+}
+
+fn start_host(logs: &Path, host: &Host, platform: SocketAddr, data: &Data) -> Process {
+    let seeds: Vec<String> = data.hosts.iter().map(|h| h.exchange.to_string()).collect();
+    let args = [
+        format!("--name={}", host.name),
+        format!("--domain={}", host.domain),
+        format!("--http={}", host.http),
+        format!("--hop={}", host.hop),
+        format!("--exchange={}", host.exchange),
+        format!("--platform={platform}"),
+        format!("--seeds={}", seeds.join(",")),
+        "--lame-duck-ms=2000".to_owned(),
+        "--seed=1".to_owned(),
+    ];
+    Process::start(
+        logs,
+        &format!("rattanmast-host.{}", host.name),
+        &args,
+        false,
+    )
+}
--- /dev/null
+++ b/crates/host/tests/process.rs
@@ -0,0 +1,300 @@
+//! Tests with real processes and sockets.
+//!
+//! Events are awaited for as long as a busy machine needs; no test asserts a
+//! time. A wait of fixed length stands only where a lease has to run out.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod env;
+
+use std::time::Duration;
+
+use env::{Env, Found, key};
+use futures::future::join_all;
+use rattanmast_fakes::records;
+use rattanmast_model::{
+    outcome::{Outcome, Reason},
+    range::SPACE,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Longer than a claim (2 s) and a proof of the configuration (3 s) hold.
+const LEASES: Duration = Duration::from_secs(6);
+
+impl Env {
+    /// Checks that an answer claims no more than the truth; tells whether it is whole.
+    fn whole(&self, text: &str, found: &Found) -> bool {
+        let Ok(found) = found else {
+            return false;
+        };
+        let (answer, collection) = (&found.answer, self.data.preset.searched);
+        let truth = records::rows(collection, answer.snapshot, SPACE, text);
+        let total = records::count(collection, answer.snapshot, SPACE);
+        assert_eq!(answer.total, total);
+        assert!(answer.rows.iter().all(|row| truth.contains(row)));
+        let covered = answer.coverage >= 1.0;
+        assert_eq!(covered, answer.missing.is_empty());
+        assert!(
+            !covered || answer.rows == truth,
+            "whole but rows are missing"
+        );
+        covered
+    }
+
+    /// Waits until `host` answers a search wholly.
+    async fn until_whole(&self, host: usize) {
+        let text = records::term(7);
+        let whole = async |e: &Env| {
+            let found = e.search(host, &text).await;
+            found.is_ok_and(|found| e.whole(&text, &found))
+        };
+        self.until("a whole answer", whole).await;
+    }
+
+    /// Checks that what was said of the orders with `key` agrees with what ran.
+    async fn check(&self, key: &str, outcomes: &[Result<Outcome, String>]) {
+        let runs = self.runs(key).await;
+        assert!(runs <= 1, "{key} ran {runs} times");
+        let said = |f: fn(&Outcome) -> bool| outcomes.iter().flatten().any(f);
+        if said(|o| matches!(o, Outcome::Done { .. } | Outcome::AlreadyDone { .. })) {
+            assert_eq!(runs, 1, "{key}: {outcomes:?}");
+        }
+        let not_run = |o: &Result<Outcome, String>| matches!(o, Ok(Outcome::NotRun { .. }));
+        if outcomes.iter().all(not_run) {
+            assert_eq!(runs, 0, "{key}: {outcomes:?}");
+        }
+    }
+}
+
+fn is_done(outcome: &Result<Outcome, String>) -> bool {
+    matches!(outcome, Ok(Outcome::Done { .. }))
+}
+
+/// Guards against an installation without faults whose answers are not whole.
+#[tokio::test]
+async fn queries_are_whole() {
+    let env = Env::start("queries_are_whole", false).await;
+    for host in 0..3 {
+        env.until_whole(host).await;
+        let text = records::term(9);
+        let found = env.search(host, &text).await.unwrap();
+        assert!(env.whole(&text, &found), "{found:?}");
+    }
+}
+
+/// Guards against a second run of an order that is sent to several hosts, at once or later.
+#[tokio::test]
+async fn an_order_runs_once() {
+    let env = Env::start("an_order_runs_once", false).await;
+    let key = key();
+    let first = join_all((0..3).map(|host| env.order(host, &key))).await;
+    assert_eq!(first.iter().filter(|o| is_done(o)).count(), 1, "{first:?}");
+    let later = join_all((0..3).map(|host| env.order(host, &key))).await;
+    let already = |o: &Result<Outcome, String>| matches!(o, Ok(Outcome::AlreadyDone { .. }));
+    assert!(later.iter().all(already), "{later:?}");
+    assert_eq!(env.runs(&key).await, 1);
+}
+
+/// Guards against answers that stay partial, or claim too much, when one replica of each shard is lost.
+#[tokio::test]
+async fn leafs_are_lost() {
+    let mut env = Env::start("leafs_are_lost", false).await;
+    env.until_whole(0).await;
+    env.leafs[1].kill();
+    for host in 0..3 {
+        env.until_whole(host).await;
+    }
+    let key = key();
+    let outcome = env.order(0, &key).await;
+    env.check(&key, &[outcome]).await;
+}
+
+/// Guards against a host whose death leaves its share of the services or of the keys without service.
+#[tokio::test]
+async fn a_host_is_killed() {
+    let mut env = Env::start("a_host_is_killed", false).await;
+    env.until_whole(0).await;
+    let keys: Vec<String> = (0..20).map(|_| key()).collect();
+    env.hosts[2].kill();
+    for key in &keys {
+        let outcome = env.order(0, key).await;
+        env.check(key, &[outcome]).await;
+    }
+    env.until_whole(0).await;
+    env.until_whole(1).await;
+    let done = async |e: &Env| {
+        let key = key();
+        let outcome = e.order(1, &key).await;
+        let done = is_done(&outcome);
+        e.check(&key, &[outcome]).await;
+        done
+    };
+    env.until("an order that is done", done).await;
+}
+
+/// Guards against an order that runs twice because its holder was paused past its lease.
+#[tokio::test]
+async fn a_host_is_paused_past_its_leases() {
+    let env = Env::start("a_host_is_paused", false).await;
+    env.until_whole(0).await;
+    let keys: Vec<String> = (0..40).map(|_| key()).collect();
+    // The pause finds the orders at different steps.
+    let sent = keys.iter().zip(0_u64..).map(|(key, n)| {
+        let env = &env;
+        async move {
+            sleep(Duration::from_millis(n)).await;
+            env.order(0, key).await
+        }
+    });
+    let again = async {
+        sleep(Duration::from_millis(20)).await;
+        env.hosts[0].signal("STOP");
+        let early = join_all(keys.iter().map(|key| env.order(1, key))).await;
+        sleep(LEASES).await;
+        let late = join_all(keys.iter().map(|key| env.order(2, key))).await;
+        env.hosts[0].signal("CONT");
+        (early, late)
+    };
+    let (first, (early, late)) = tokio::join!(join_all(sent), again);
+    env.until("a host that is ready again", async |e| e.ready(0).await)
+        .await;
+    let outcomes = first.into_iter().zip(early).zip(late);
+    for (key, ((first, early), late)) in keys.iter().zip(outcomes) {
+        env.check(key, &[first, early, late]).await;
+    }
+    env.until_whole(0).await;
+}
+
+/// Guards against a planned stop that cuts off or refuses a request.
+#[tokio::test]
+async fn a_planned_stop_cuts_nothing_off() {
+    let mut env = Env::start("a_planned_stop", false).await;
+    for host in 0..3 {
+        env.until_whole(host).await;
+    }
+    let text = records::term(3);
+    let load = async |env: &Env| {
+        let mut answers = 0;
+        // As the balancer does, a caller looks at readiness before each request.
+        while env.ready(1).await {
+            let found = env.search(1, &text).await.unwrap();
+            assert!(found.is_ok(), "{found:?}");
+            let order = key();
+            let outcome = env.order(1, &order).await.unwrap();
+            assert!(matches!(outcome, Outcome::Done { .. }), "{outcome:?}");
+            answers += 1;
+        }
+        answers
+    };
+    let stop = async {
+        sleep(Duration::from_millis(500)).await;
+        env.hosts[1].signal("TERM");
+    };
+    let loads = join_all((0..8).map(|_| load(&env)));
+    let (answers, ()) = tokio::join!(loads, stop);
+    assert!(answers.iter().all(|n| *n > 0), "{answers:?}");
+    assert_eq!(env.hosts[1].ended().await.code(), Some(0));
+    env.until_whole(0).await;
+}
+
+/// Guards against queries and tickets that need the platform, and orders that run without a claim.
+#[tokio::test]
+async fn the_platform_is_down_for_a_while() {
+    let env = Env::start("the_platform_is_down", false).await;
+    env.until_whole(0).await;
+    env.admin(&env.platform, "/faults", json!({"down": true}))
+        .await;
+    // The proof of the configuration from before the outage has run out after this.
+    sleep(LEASES).await;
+    for host in 0..3 {
+        env.until("a host that is ready", async |e| e.ready(host).await)
+            .await;
+        env.until_whole(host).await;
+    }
+    let claimed = key();
+    let outcome = env.order(0, &claimed).await.unwrap();
+    let refused = matches!(
+        &outcome,
+        Outcome::NotRun {
+            reason: Reason::Store,
+            ..
+        }
+    );
+    assert!(refused, "{outcome:?}");
+    assert_eq!(env.runs(&claimed).await, 0);
+    let ticket = env.ticket(1).await;
+    let outcome = env.order(0, &ticket).await;
+    assert!(is_done(&outcome), "{outcome:?}");
+    assert_eq!(env.runs(&ticket).await, 1);
+    env.admin(&env.platform, "/faults", json!({})).await;
+    let done = async |e: &Env| is_done(&e.order(0, &key()).await);
+    env.until("an order that is done", done).await;
+}
+
+/// Guards against a platform that has gone for good and takes queries with it.
+#[tokio::test]
+async fn the_platform_is_killed() {
+    let mut env = Env::start("the_platform_is_killed", false).await;
+    env.until_whole(0).await;
+    env.platform.kill();
+    sleep(LEASES).await;
+    for host in 0..3 {
+        env.until("a host that is ready", async |e| e.ready(host).await)
+            .await;
+        env.until_whole(host).await;
+    }
+}
+
+/// Guards against an order that is sent again, or called not run, because its reply was lost.
+#[tokio::test]
+async fn replies_are_lost() {
+    let env = Env::start("replies_are_lost", true).await;
+    let proxy = env.proxy.as_ref().unwrap();
+    env.until_whole(0).await;
+    env.admin(proxy, "/routes/*/faults", json!({"lose_reply": 0.2}))
+        .await;
+    let keys: Vec<String> = (0..60).map(|_| key()).collect();
+    let first = join_all(keys.iter().map(|key| env.order(0, key))).await;
+    let again = join_all(keys.iter().map(|key| env.order(1, key))).await;
+    for (key, outcomes) in keys.iter().zip(first.into_iter().zip(again)) {
+        env.check(key, &[outcomes.0, outcomes.1]).await;
+    }
+    let text = records::term(5);
+    for host in 0..3 {
+        let found = env.search(host, &text).await.unwrap();
+        env.whole(&text, &found);
+    }
+    env.admin(
+        proxy,
+        "/routes/*/faults",
+        json!({"close_after_request": 0.2}),
+    )
+    .await;
+    let keys: Vec<String> = (0..60).map(|_| key()).collect();
+    let outcomes = join_all(keys.iter().map(|key| env.order(2, key))).await;
+    for (key, outcome) in keys.iter().zip(outcomes) {
+        env.check(key, &[outcome]).await;
+    }
+    env.admin(proxy, "/routes/*/faults", json!({})).await;
+    env.until_whole(0).await;
+}
+
+/// Guards against connections to leafs that go silent and stall all later queries.
+#[tokio::test]
+async fn connections_to_leafs_go_silent() {
+    let env = Env::start("connections_go_silent", true).await;
+    let proxy = env.proxy.as_ref().unwrap();
+    for host in 0..3 {
+        env.until_whole(host).await;
+    }
+    env.admin(proxy, "/routes/*/silence", json!({})).await;
+    let keys: Vec<String> = (0..10).map(|_| key()).collect();
+    let outcomes = join_all(keys.iter().map(|key| env.order(0, key))).await;
+    for (key, outcome) in keys.iter().zip(outcomes) {
+        env.check(key, &[outcome]).await;
+    }
+    for host in 0..3 {
+        env.until_whole(host).await;
+    }
+}
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -75,9 +75,7 @@
     pub status: u16,
     /// What was wrong with this request.
     pub detail: SmolStr,
-    /// What to do about it.
-    pub remedy: SmolStr,
-    /// Whether the request ran.
+    /// Whether the request ran, and what to do about it.
     #[serde(flatten)]
     pub outcome: Outcome,
 }
