--- a/crates/host/src/controllers.rs
+++ b/crates/host/src/controllers.rs
@@ -5,13 +5,21 @@
 use rattanmast_gather::Gatherer;
 use rattanmast_state::{node::Node, settings::Settings};
 use rattanmast_wire::{exchange, store};
-use tokio::{sync::watch, time};
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
+};
 
 use crate::{api::World, auth::Callers, config::Config, local::Roles, peers::Peers};
 
 /// How often the proof of the configuration and leaving leafs are looked at.
 const TICK: Duration = Duration::from_millis(100);
 
+/// The longest time that a new host waits to know the leafs and catalogs before it serves.
+///
+/// A collection without any snapshot has no catalog, and must not keep hosts from serving.
+const LEARNING: Duration = Duration::from_secs(5);
+
 /// Returns the settings of the state's controllers.
 pub fn state_settings(config: &Config) -> Settings {
     Settings {
@@ -39,14 +47,22 @@
     pub async fn run(self) {
         let mut view = self.node.view();
         let mut tick = time::interval(TICK);
+        let mut learned = false;
+        let mut proven = None;
         loop {
             tokio::select! {
                 changed = view.changed() => match changed {
                     Ok(()) => self.apply(),
                     Err(_) => return,
                 },
-                _ = tick.tick() => self.look(),
+                _ = tick.tick() => {}
+            }
+            let serving = self.node.proof().serving();
+            if serving && !learned {
+                let since = proven.get_or_insert_with(Instant::now).elapsed();
+                learned = view.borrow().complete() || since >= LEARNING;
             }
+            self.look(serving && learned);
         }
     }
 
@@ -68,12 +84,10 @@
             world.config = view.config.clone();
             world.callers = callers;
         });
-        self.look();
     }
 
     /// Switches the roles on or off, and shares what is known of leaving leafs.
-    fn look(&self) {
-        let serving = self.node.proof().serving();
+    fn look(&self, serving: bool) {
         self.roles.dispatcher.serve(serving);
         self.roles.orders.serve(serving);
         self.worlds.send_if_modified(|world| {
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -21,3 +21,11 @@
     /// The platform's list of hosts; it lags.
     pub hosts: Arc<Hosts>,
 }
+
+impl View {
+    /// Tells whether the leafs and the catalog of each configured collection are known.
+    pub fn complete(&self) -> bool {
+        let mut collections = self.config.collections.iter();
+        !self.leafs.leafs.is_empty() && collections.all(|c| self.catalogs.contains_key(&c.name))
+    }
+}
