--- a/crates/wire/src/hop.rs
+++ b/crates/wire/src/hop.rs
@@ -70,11 +70,12 @@
 fn read_trace(trace: Option<proto::Trace>) -> Option<trace::Context> {
     let trace = trace?;
     let bytes = trace.trace.try_into().ok()?;
-    Some(trace::Context {
+    let context = trace::Context {
         trace: u128::from_be_bytes(bytes),
         span: trace.span,
         sampled: trace.sampled,
-    })
+    };
+    (context.trace != 0 && context.span != 0).then_some(context)
 }
 
 fn range(range: range::Range) -> proto::Range {
