--- a/crates/model/src/exchange.rs
+++ b/crates/model/src/exchange.rs
@@ -13,6 +13,9 @@
 /// The most objects listed in one digest.
 pub const OBJECTS: usize = 64;
 
+/// The most bytes of objects in one reply; what does not fit is fetched with the next exchange.
+pub const REPLY_LIMIT: usize = 3 * store::VALUE_LIMIT;
+
 /// What a host has and believes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
@@ -136,6 +139,28 @@
     Insert(Vec<u8>),
 }
 
+impl Piece {
+    /// Returns the bytes that the piece takes in a message, at most.
+    pub fn bytes(&self) -> usize {
+        /// A tag and two numbers of up to 5 bytes.
+        const FIXED: usize = 11;
+        match self {
+            Self::Copy(..) => FIXED,
+            Self::Insert(bytes) => FIXED + bytes.len(),
+        }
+    }
+}
+
+impl Update {
+    /// Returns the bytes that the object's value takes in a message, at most.
+    pub fn bytes(&self) -> usize {
+        match &self.body {
+            Body::Whole(value) => value.len(),
+            Body::Steps(steps) => steps.iter().flatten().map(Piece::bytes).sum(),
+        }
+    }
+}
+
 /// A message to another host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
--- a/crates/state/src/delta.rs
+++ b/crates/state/src/delta.rs
@@ -5,9 +5,6 @@
 
 use rattanmast_model::{exchange::Piece, hash::Map, store::VALUE_LIMIT};
 
-/// Bytes that a piece takes in a message besides its own, at most.
-const PIECE_COST: usize = 10;
-
 /// Returns the pieces that make `new` from `old`.
 pub fn between(old: &[u8], new: &[u8]) -> Vec<Piece> {
     let old_chunks: Vec<(usize, &[u8])> = chunks(old).collect();
@@ -55,15 +52,6 @@
     Some(new)
 }
 
-/// Returns the bytes that `pieces` take in a message, at most.
-pub fn cost(pieces: &[Piece]) -> usize {
-    let bytes = |p: &Piece| match p {
-        Piece::Copy(..) => 0,
-        Piece::Insert(bytes) => bytes.len(),
-    };
-    pieces.iter().map(|p| PIECE_COST + bytes(p)).sum()
-}
-
 fn chunks(bytes: &[u8]) -> impl Iterator<Item = (usize, &[u8])> {
     let mut start = 0;
     bytes.split_inclusive(|b| *b == b'}').map(move |chunk| {
--- a/crates/state/src/relay.rs
+++ b/crates/state/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! With random exchanges alone, word from 9 watchers takes longer than 3 s to reach 2,200 hosts.
 //! Hosts are therefore placed in layers: the watchers, then layers that are each [`FAN`] times
-//! larger. A host asks a random host of the layer above, so no single host is needed.
+//! larger. A host asks the same host of the layer above, which spreads the load evenly, and any
+//! other host of that layer when the answer is missing or old.
 
 use rattanmast_model::{
     hash,
@@ -20,6 +21,8 @@
     pub watchers: Vec<Name>,
     /// The hosts to ask; empty if the host is a watcher.
     pub above: Vec<Name>,
+    /// The index in `above` of the host to ask first.
+    pub first: usize,
 }
 
 impl Place {
@@ -28,8 +31,10 @@
         let watchers = roster::watchers(hosts).into_iter().map(|h| h.name.clone());
         let watchers: Vec<Name> = watchers.collect();
         if watchers.contains(me) {
-            let above = Vec::new();
-            return Self { watchers, above };
+            return Self {
+                watchers,
+                ..Self::default()
+            };
         }
         let mut rest: Vec<(u64, &Name)> = hosts
             .iter()
@@ -42,8 +47,14 @@
         loop {
             let layer = rest.len().min(above.len().max(1) * FAN);
             let (now, later) = rest.split_at(layer);
-            if later.is_empty() || now.iter().any(|(_, name)| *name == me) {
-                return Self { watchers, above };
+            let index = now.iter().position(|(_, name)| *name == me);
+            if later.is_empty() || index.is_some() {
+                let first = index.unwrap_or_default() % above.len().max(1);
+                return Self {
+                    watchers,
+                    above,
+                    first,
+                };
             }
             above = now.iter().map(|(_, name)| (*name).clone()).collect();
             rest = later;
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -199,25 +199,28 @@
         Some(self.others[chosen].clone())
     }
 
-    /// Returns a random host of the layer above, or another watcher for a watcher.
-    pub fn above(&mut self) -> Option<(Name, SocketAddr)> {
+    /// Returns the host of the layer above, or another one of that layer in `haste`.
+    ///
+    /// For a watcher that is another watcher.
+    pub fn above(&mut self, haste: bool) -> Option<(Name, SocketAddr)> {
         let list = match self.place.above.is_empty() {
             true => &self.place.watchers,
             false => &self.place.above,
         };
-        let usable: Vec<&Name> = list
+        let first = self.place.above.get(self.place.first);
+        let first = first.filter(|n| !haste && self.members.usable(n));
+        let usable = list
             .iter()
-            .filter(|n| **n != self.me && self.members.usable(n))
-            .collect();
-        let usable = if usable.is_empty() {
-            list.iter().collect()
-        } else {
-            usable
-        };
+            .filter(|n| **n != self.me && self.members.usable(n));
+        let mut usable: Vec<&Name> = usable.collect();
         if usable.is_empty() {
-            return None;
+            usable.extend(list.iter().filter(|n| **n != self.me));
         }
-        let name = usable[self.rng.random_range(0..usable.len())].clone();
+        let any = match usable.len() {
+            0 => None,
+            len => Some(usable[self.rng.random_range(0..len)]),
+        };
+        let name = first.or(any)?.clone();
         let addr = *self.addrs.get(&name)?;
         Some((name, addr))
     }
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table.rs
@@ -4,7 +4,7 @@
 
 use rattanmast_model::{
     catalog::Catalog,
-    exchange::{Body, Fetch, OBJECTS, Piece, Update},
+    exchange::{Body, Fetch, OBJECTS, Piece, REPLY_LIMIT, Update},
     hash::{self, Map},
     store::{VALUE_LIMIT, Version},
 };
@@ -132,9 +132,15 @@
 
     /// Returns the answer to a request for objects.
     pub fn updates(&self, fetch: &Fetch) -> Vec<Update> {
+        let mut room = REPLY_LIMIT;
         let wants = fetch.wants.iter().take(OBJECTS);
-        wants
-            .filter_map(|(n, have)| self.update(n, *have))
+        let updates = wants.filter_map(|(n, have)| self.update(n, *have));
+        updates
+            .take_while(|u| {
+                let fits = u.bytes() <= room;
+                room = room.saturating_sub(u.bytes());
+                fits
+            })
             .collect()
     }
 
@@ -147,7 +153,8 @@
         let steps = from.map(|i| held.steps.iter().skip(i).map(|(_, p)| p.clone()));
         let steps = steps.map(Iterator::collect::<Vec<_>>);
         let small = |s: &Vec<Vec<Piece>>| {
-            s.iter().map(|p| delta::cost(p)).sum::<usize>() < held.value.len() / 2
+            let cost: usize = s.iter().flatten().map(Piece::bytes).sum();
+            cost < held.value.len() / 2
         };
         Some(Update {
             name: name.clone(),
@@ -215,7 +222,7 @@
             }
             Some(held) => {
                 let pieces = delta::between(&held.value, &value);
-                if delta::cost(&pieces) * 4 < value.len() {
+                if pieces.iter().map(Piece::bytes).sum::<usize>() * 4 < value.len() {
                     held.steps.push_back((held.version, pieces));
                     let excess = held.steps.len().saturating_sub(STEPS);
                     held.steps.drain(..excess);
--- /dev/null
+++ b/crates/state/tests/support/mod.rs
@@ -0,0 +1,341 @@
+//! A fleet of nodes on a network in memory, with faults, on tokio's paused clock.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up step fails the test")]
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    ops::Range,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bincode::Options as _;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_fakes::memory::Store;
+use rattanmast_model::{
+    config::{self, Config},
+    exchange::{Exchange, Message, Reply},
+    hash::Map,
+    host::{Host, Incarnation},
+    peer, preset,
+};
+use rattanmast_state::{intent::Intent, node, record, settings::Settings};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+pub type Node = node::Node<Store, Port>;
+
+/// Bytes that tarpc adds to a call and to its reply (see `crates/wire/tests/exchange.rs`).
+pub const FRAMING: (u64, u64) = (48, 12);
+
+/// What one host sent and received.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub calls: u64,
+    pub answers: u64,
+    pub sent: u64,
+    pub received: u64,
+}
+
+#[derive(Debug)]
+pub struct Wire {
+    nodes: Map<SocketAddr, Node>,
+    pub sides: Map<SocketAddr, u8>,
+    pub loss: f64,
+    /// The share of calls that arrive a second time, up to 5 s later.
+    pub repeat: f64,
+    pub latency: Range<u64>,
+    pub traffic: Map<SocketAddr, Traffic>,
+    pub counting: bool,
+    rng: SmallRng,
+}
+
+/// A network in memory; clones share it.
+#[derive(Clone, Debug)]
+pub struct Net(Arc<Mutex<Wire>>);
+
+/// The network as one host sees it.
+#[derive(Clone, Debug)]
+pub struct Port(Net, SocketAddr);
+
+impl Net {
+    pub fn new(seed: u64) -> Self {
+        Self(Arc::new(Mutex::new(Wire {
+            nodes: Map::default(),
+            sides: Map::default(),
+            loss: 0.0,
+            repeat: 0.0,
+            latency: 1..3,
+            traffic: Map::default(),
+            counting: false,
+            rng: SmallRng::seed_from_u64(seed),
+        })))
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, Wire> {
+        self.0.lock().unwrap()
+    }
+
+    pub fn port(&self, addr: SocketAddr) -> Port {
+        Port(self.clone(), addr)
+    }
+
+    /// Waits for one way from `from` to `to`; returns whether the message arrives.
+    async fn pass(&self, from: SocketAddr, to: SocketAddr, bytes: u64) -> bool {
+        let (time, arrives) = {
+            let mut wire = self.lock();
+            let wire = &mut *wire;
+            let time = wire.rng.random_range(wire.latency.clone());
+            let side = |a: &SocketAddr| wire.sides.get(a).copied().unwrap_or_default();
+            let lost = wire.loss > 0.0 && wire.rng.random_bool(wire.loss);
+            let arrives = !lost && side(&from) == side(&to);
+            if wire.counting {
+                wire.traffic.entry(from).or_default().sent += bytes;
+                if arrives {
+                    wire.traffic.entry(to).or_default().received += bytes;
+                }
+            }
+            (time, arrives)
+        };
+        sleep(Duration::from_millis(time)).await;
+        arrives
+    }
+
+    fn node(&self, addr: SocketAddr) -> Option<Node> {
+        self.lock().nodes.get(&addr).cloned()
+    }
+}
+
+impl Exchange for Port {
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        message: Message,
+        _timeout: Duration,
+    ) -> peer::Result<Reply> {
+        let Self(net, me) = self;
+        let counting = net.lock().counting;
+        let bytes = if counting {
+            size(&message) + FRAMING.0
+        } else {
+            0
+        };
+        if counting {
+            let mut wire = net.lock();
+            wire.traffic.entry(*me).or_default().calls += 1;
+            wire.traffic.entry(addr).or_default().answers += 1;
+        }
+        if !net.pass(*me, addr, bytes).await {
+            std::future::pending::<()>().await;
+        }
+        let host = format_smolstr!("{addr}");
+        let Some(node) = net.node(addr) else {
+            return Err(peer::Error::Connect { host });
+        };
+        let again = {
+            let mut wire = net.lock();
+            let repeat = wire.repeat;
+            let again = repeat > 0.0 && wire.rng.random_bool(repeat);
+            again.then(|| wire.rng.random_range(1..5_000))
+        };
+        if let Some(delay) = again {
+            let (net, message) = (net.clone(), message.clone());
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(delay)).await;
+                if let Some(node) = net.node(addr) {
+                    node.handle(message).await;
+                }
+            });
+        }
+        let reply = node.handle(message).await;
+        let bytes = if counting {
+            size(&reply) + FRAMING.1
+        } else {
+            0
+        };
+        if !net.pass(addr, *me, bytes).await {
+            std::future::pending::<()>().await;
+        }
+        Ok(reply)
+    }
+}
+
+/// Returns the bytes of a message on the wire.
+pub fn size<T: serde::Serialize>(message: &T) -> u64 {
+    bincode::options().serialized_size(message).unwrap()
+}
+
+/// Nodes, their network and the platform.
+#[derive(Debug)]
+pub struct Fleet {
+    pub net: Net,
+    pub store: Store,
+    pub hosts: Vec<Host>,
+    pub nodes: Vec<Node>,
+    stops: Vec<CancellationToken>,
+    incarnations: u64,
+    seed: u64,
+}
+
+pub fn hosts(count: usize, domains: usize) -> Vec<Host> {
+    let addr = |i: usize, port: u16| {
+        let ip = Ipv4Addr::new(10, 0, (i / 250) as u8, (i % 250) as u8 + 1);
+        SocketAddr::from((ip, port))
+    };
+    (0..count)
+        .map(|i| Host {
+            name: format_smolstr!("host-{i:04}"),
+            domain: format_smolstr!("domain-{}", i % domains),
+            http: addr(i, 8080),
+            hop: addr(i, 8081),
+            exchange: addr(i, 8082),
+        })
+        .collect()
+}
+
+pub fn intent(hosts: Vec<Host>) -> Intent {
+    let norway = preset::Preset::norway();
+    let searches = norway.collections.iter().map(|c| config::Search {
+        name: format_smolstr!("search-{}", c.name),
+        collection: c.name.clone(),
+        priority: config::Priority::Time,
+        least_coverage: 0.9,
+        longest_wait_ms: 400,
+    });
+    let searches: Vec<_> = searches.collect();
+    let caller = config::Caller {
+        name: SmolStr::new("bench"),
+        key_sha256: SmolStr::new("ab".repeat(32)),
+        rank: rattanmast_model::rank::Rank::Urgent,
+        searches: searches.iter().map(|s| s.name.clone()).collect(),
+        orders: vec![SmolStr::new("club-billing")],
+    };
+    Intent {
+        hosts,
+        collections: norway.collections,
+        searches,
+        callers: vec![caller],
+        floors: config::Floors::default(),
+    }
+}
+
+/// Returns the first configuration for `hosts`.
+pub fn config(hosts: &[Host], version: u64) -> Config {
+    let intent = intent(hosts.to_vec());
+    let mut config = rattanmast_state::plan::make(&Config::default(), &intent).target;
+    config.version = config::Version(version);
+    config
+}
+
+impl Fleet {
+    /// Returns a fleet of `count` hosts, none of which runs yet, and a platform with
+    /// configuration 1.
+    pub fn new(count: usize, seed: u64) -> Self {
+        let hosts = hosts(count, if count > 100 { 8 } else { 3 });
+        let store = Store::new(seed);
+        let value = serde_json::to_vec(&config(&hosts, 1)).unwrap();
+        store.put(record::CURRENT, &value);
+        Self {
+            net: Net::new(seed),
+            store,
+            nodes: Vec::new(),
+            stops: Vec::new(),
+            hosts,
+            incarnations: 0,
+            seed,
+        }
+    }
+
+    /// Returns a fleet of which all hosts run.
+    pub fn started(count: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(count, seed);
+        (0..count).for_each(|i| fleet.start(i));
+        fleet
+    }
+
+    /// Starts host `i`, or a new process of it.
+    pub fn start(&mut self, i: usize) {
+        let me = self.hosts[i].clone();
+        self.incarnations += 1;
+        let seeds = self.hosts.iter().step_by(self.hosts.len().div_ceil(9));
+        let settings = Settings {
+            seeds: seeds.map(|h| h.exchange).collect(),
+            ..Settings::default()
+        };
+        let node = Node::new(
+            me.clone(),
+            Incarnation(self.incarnations),
+            self.store.client(&me.name),
+            self.net.port(me.exchange),
+            settings,
+            self.seed ^ self.incarnations << 16,
+        );
+        let stop = CancellationToken::new();
+        let (running, token) = (node.clone(), stop.clone());
+        tokio::spawn(async move { running.run(token).await });
+        self.net.lock().nodes.insert(me.exchange, node.clone());
+        if i < self.nodes.len() {
+            self.nodes[i] = node;
+            std::mem::replace(&mut self.stops[i], stop).cancel();
+        } else {
+            self.nodes.push(node);
+            self.stops.push(stop);
+        }
+    }
+
+    /// Kills host `i`: it neither sends nor answers.
+    pub fn kill(&mut self, i: usize) {
+        self.stops[i].cancel();
+        self.net.lock().nodes.remove(&self.hosts[i].exchange);
+    }
+
+    /// Puts host `i` on a side of a partition.
+    pub fn side(&self, i: usize, side: u8) {
+        self.net.lock().sides.insert(self.hosts[i].exchange, side);
+    }
+
+    /// Writes configuration `version` to the platform.
+    pub fn put(&self, version: u64) {
+        self.put_for(&self.hosts, version);
+    }
+
+    /// Writes configuration `version` with the roster `hosts` to the platform.
+    pub fn put_for(&self, hosts: &[Host], version: u64) {
+        let value = serde_json::to_vec(&config(hosts, version)).unwrap();
+        self.store.put(record::CURRENT, &value);
+    }
+
+    /// Returns the configuration in force at host `i`.
+    pub fn version(&self, i: usize) -> u64 {
+        self.nodes[i].view().borrow().config.version.0
+    }
+
+    pub fn serving(&self, i: usize) -> bool {
+        self.nodes[i].proof().serving()
+    }
+
+    /// Waits until `holds`, for at most `limit`; returns how long it took.
+    pub async fn until(&self, limit: Duration, holds: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let began = Instant::now();
+        while began.elapsed() <= limit {
+            if holds(self) {
+                return Some(began.elapsed());
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+        None
+    }
+
+    pub fn all_serve(&self) -> bool {
+        (0..self.nodes.len()).all(|i| self.serving(i))
+    }
+
+    pub fn all_have(&self, version: u64) -> bool {
+        (0..self.nodes.len()).all(|i| self.version(i) >= version)
+    }
+}
+
+pub async fn seconds(count: u64) {
+    sleep(Duration::from_secs(count)).await;
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform; tonic and tarpc between hosts.
 
 pub mod api;
+pub mod exchange;
 pub mod hop;
 pub mod http;
 pub mod leaf;
