--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -188,9 +188,9 @@
             tokio::spawn(server::serve(listeners.http, service, closing.clone())),
             tokio::spawn(serve_hop(listeners.hop, roles.clone(), closing.clone())),
         ];
-        let exchanges = exchange::serve(listeners.exchange, node.clone());
+        let exchanges = exchange::serve(listeners.exchange, node.clone(), ending.clone());
         let controllers = vec![
-            tokio::spawn(until(ending.clone(), exchanges)),
+            tokio::spawn(exchanges),
             tokio::spawn(until(ending.clone(), roles.clone().serve(inbox))),
             tokio::spawn(until(ending.clone(), follow.run())),
             tokio::spawn({
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -1,140 +1,215 @@
-//! Exchange of state between hosts over tarpc.
+//! The exchange of state between hosts over tarpc.
 
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use futures::StreamExt;
+use futures::StreamExt as _;
 use rattanmast_model::{
-    exchange::{self, Handler, Message, Reply},
+    exchange::{self, Digest, Fetch, Handler, Message, Reply, Rumor, Update},
     hash::Map,
-    host,
-    peer::{Error, Result},
+    peer,
 };
-use serde::{Deserialize, Serialize};
-use smol_str::format_smolstr;
+use smol_str::{SmolStr, ToSmolStr as _, format_smolstr};
 use tarpc::{
-    client, context, serde_transport,
-    server::{BaseChannel, Channel},
+    client::{self, RpcError},
+    context::{self, Context},
+    serde_transport,
+    server::{BaseChannel, Channel as _},
     tokio_serde::formats::Bincode,
+    tokio_util::codec::LengthDelimitedCodec,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    time,
+    sync::Semaphore,
+    time::timeout,
 };
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
 
-/// Connections that a client keeps; hosts exchange with random others, so most are used once.
-const KEPT: usize = 32;
-
-/// The largest message, in bytes; an object of the platform is at most 1 MB.
-const MESSAGE_LIMIT: usize = 4 << 20;
+/// The largest message, in bytes: [`exchange::REPLY_LIMIT`] and what encoding adds.
+///
+/// The codec has one limit for both directions.
+const FRAME_LIMIT: usize = exchange::REPLY_LIMIT + (1 << 20);
 
-/// Time to wait before accepting again after the system refused to.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a connection without calls is closed by its server.
+///
+/// Calls to the layer above come every 500 ms and keep theirs open; with 2,200 hosts, each host
+/// is met by two random ones a second, which then hold about 30 connections.
+const IDLE: Duration = Duration::from_secs(15);
 
-/// The tarpc service.
-mod service {
-    use rattanmast_model::exchange::{Message, Reply};
+/// Connections that a client keeps; hosts meet random hosts, so most are used once.
+const KEPT: usize = 32;
 
-    #[tarpc::service]
-    pub trait Exchange {
-        /// Answers `message`.
-        async fn call(message: Message) -> Reply;
-    }
+/// Connections that a server accepts at a time.
+const ACCEPTED: usize = 512;
+
+/// The calls between hosts.
+#[tarpc::service]
+pub trait Exchange {
+    /// Compares what both hosts have.
+    async fn exchange(digest: Digest) -> Digest;
+    /// Returns objects.
+    async fn fetch(fetch: Fetch) -> Vec<Update>;
+    /// Says that the caller is stopping.
+    async fn leave(rumor: Rumor);
 }
 
-use service::{Exchange, ExchangeClient};
-
-#[derive(Clone)]
+/// Answers calls by a [`Handler`].
+#[derive(Clone, Debug)]
 struct Server<H>(H);
 
 impl<H: Handler> Exchange for Server<H> {
-    async fn call(self, _: context::Context, message: Message) -> Reply {
-        self.0.handle(message).await
+    async fn exchange(self, _: Context, digest: Digest) -> Digest {
+        match self.0.handle(Message::Exchange(digest)).await {
+            Reply::Digest(digest) => digest,
+            Reply::Updates(_) | Reply::Noted => Digest::default(),
+        }
     }
-}
 
-/// A tarpc transport over TCP: length-delimited frames of bincode.
-type Frames<In, Out> = serde_transport::Transport<TcpStream, In, Out, Bincode<In, Out>>;
-
-fn framed<In, Out>(stream: TcpStream) -> Frames<In, Out>
-where
-    In: for<'a> Deserialize<'a>,
-    Out: Serialize,
-{
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MESSAGE_LIMIT)
-        .new_codec();
-    serde_transport::new(Framed::new(stream, codec), Bincode::default())
+    async fn fetch(self, _: Context, fetch: Fetch) -> Vec<Update> {
+        match self.0.handle(Message::Fetch(fetch)).await {
+            Reply::Updates(updates) => updates,
+            Reply::Digest(_) | Reply::Noted => Vec::new(),
+        }
+    }
+
+    async fn leave(self, _: Context, rumor: Rumor) {
+        self.0.handle(Message::Leave(rumor)).await;
+    }
 }
 
-/// Serves other hosts until dropped.
-pub async fn serve<H: Handler>(listener: TcpListener, handler: H) {
+/// Answers calls on `listener` until `stop`.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: H, stop: CancellationToken) {
+    let room = Arc::new(Semaphore::new(ACCEPTED));
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("no exchange can be accepted now ({error}); raise the file limit");
-                time::sleep(ACCEPT_PAUSE).await;
+            Err(e) => {
+                log::warn!("no exchange connection was accepted ({e}); check the open file limit");
+                tokio::time::sleep(Duration::from_millis(50)).await;
                 continue;
             }
         };
-        let server = Server(handler.clone());
-        let channel = BaseChannel::with_defaults(framed(stream));
-        tokio::spawn(channel.execute(server.serve()).for_each(|answer| async {
-            tokio::spawn(answer);
-        }));
+        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+            log::warn!("{ACCEPTED} exchange connections are open; another one is closed");
+            continue;
+        };
+        let (handler, stop) = (handler.clone(), stop.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = answer(stream, handler) => {}
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// Answers calls on one connection.
+async fn answer<H: Handler>(stream: TcpStream, handler: H) {
+    stream.set_nodelay(true).ok();
+    let framed = codec().new_framed(stream);
+    let transport = serde_transport::new(framed, Bincode::default());
+    let mut requests = Box::pin(BaseChannel::with_defaults(transport).requests());
+    while let Ok(Some(Ok(request))) = timeout(IDLE, requests.next()).await {
+        request.execute(Server(handler.clone()).serve()).await;
     }
 }
 
-/// Calls other hosts.
-#[derive(Clone, Default)]
+fn codec() -> tarpc::tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(FRAME_LIMIT);
+    builder
+}
+
+/// Calls other hosts; clones share the connections.
+#[derive(Clone, Debug, Default)]
 pub struct Client {
-    open: Arc<Mutex<Map<SocketAddr, ExchangeClient>>>,
+    connections: Arc<Mutex<Map<SocketAddr, (ExchangeClient, Instant)>>>,
 }
 
 impl Client {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Map<SocketAddr, ExchangeClient>> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns a client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Map<SocketAddr, (ExchangeClient, Instant)>> {
+        let lock = self.connections.lock();
+        lock.unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn client(&self, addr: SocketAddr) -> io::Result<ExchangeClient> {
-        if let Some(client) = self.lock().get(&addr) {
-            return Ok(client.clone());
+    /// Returns the connection to `addr`, opened if there is none that was used lately.
+    async fn connection(&self, addr: SocketAddr) -> io::Result<ExchangeClient> {
+        if let Some(entry) = self.lock().get_mut(&addr) {
+            // The server closes idle connections, and a path may lose their state.
+            if entry.1.elapsed() < IDLE / 2 {
+                entry.1 = Instant::now();
+                return Ok(entry.0.clone());
+            }
         }
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let client = ExchangeClient::new(client::Config::default(), framed(stream)).spawn();
-        let mut open = self.lock();
-        if open.len() >= KEPT {
-            open.clear();
+        let framed = codec().new_framed(stream);
+        let transport = serde_transport::new(framed, Bincode::default());
+        let client = ExchangeClient::new(client::Config::default(), transport).spawn();
+        let mut connections = self.lock();
+        connections.insert(addr, (client.clone(), Instant::now()));
+        if connections.len() > KEPT {
+            let oldest = connections.iter().min_by_key(|(_, c)| c.1);
+            if let Some(addr) = oldest.map(|(a, _)| *a) {
+                connections.remove(&addr);
+            }
         }
-        open.insert(addr, client.clone());
         Ok(client)
     }
+
+    async fn try_call(&self, addr: SocketAddr, message: Message, limit: Duration) -> Result {
+        let client = self.connection(addr).await.map_err(Failure::Connect)?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        let reply = match message {
+            Message::Exchange(digest) => client.exchange(context, digest).await.map(Reply::Digest),
+            Message::Fetch(fetch) => client.fetch(context, fetch).await.map(Reply::Updates),
+            Message::Leave(rumor) => client.leave(context, rumor).await.map(|()| Reply::Noted),
+        };
+        reply.map_err(Failure::Call)
+    }
+}
+
+type Result = std::result::Result<Reply, Failure>;
+
+enum Failure {
+    Connect(io::Error),
+    Call(RpcError),
 }
 
 impl exchange::Exchange for Client {
-    async fn call(&self, addr: SocketAddr, message: Message, timeout: Duration) -> Result<Reply> {
-        let host: host::Name = format_smolstr!("at {addr}");
-        let connect = time::timeout(timeout, self.client(addr)).await;
-        let Ok(Ok(client)) = connect else {
-            return Err(Error::Connect { host });
-        };
-        let mut context = context::current();
-        context.deadline = Instant::now() + timeout;
-        let reply = time::timeout(timeout, client.call(context, message)).await;
-        let why = match reply {
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        message: Message,
+        limit: Duration,
+    ) -> peer::Result<Reply> {
+        let host = format_smolstr!("at {addr}");
+        let why: SmolStr = match timeout(limit, self.try_call(addr, message, limit)).await {
             Ok(Ok(reply)) => return Ok(reply),
-            Ok(Err(error)) => format_smolstr!("{error}"),
-            Err(elapsed) => format_smolstr!("{elapsed}"),
+            Ok(Err(Failure::Connect(e))) => {
+                log::debug!("host {host} is not reachable: {e}");
+                return Err(peer::Error::Connect { host });
+            }
+            Ok(Err(Failure::Call(e))) => e.to_smolstr(),
+            Err(elapsed) => elapsed.to_smolstr(),
         };
-        // The connection may have gone silent; the next call opens a new one.
+        // A connection that failed once, or went silent, is not used again.
         self.lock().remove(&addr);
-        Err(Error::Broken { host, why })
+        Err(peer::Error::Broken { host, why })
     }
 }
