Add the in-memory failure test of orders

Cause: the guarantees of orders need evidence under all faults at once. Change: a fleet in memory with faults and a leaf model that counts runs. Conclusion: look-ups and the mutation check are still open.

--- a/crates/order/src/partition/draft.rs
+++ b/crates/order/src/partition/draft.rs
@@ -72,15 +72,18 @@
         let table = lock(&table);
         let table = table.as_ref()?;
         let since = Moment::now(&self.settings.wall);
+        let window = millis(self.settings.window);
         // The newest time in a key bounds the watermark, so that a host whose clock
         // is far ahead does not make the whole fleet refuse all keys for good.
-        let low = since.wall.min(table.newest);
-        let low = low
-            .saturating_sub(millis(self.settings.window))
+        let low = since
+            .wall
+            .min(table.newest)
+            .saturating_sub(window)
             .max(table.low);
         // A key that is forgotten must not be sent afterwards, so none is claimed that
         // may be forgotten before the claim expires.
-        let least = low + 2 * millis(self.settings.claim_ttl);
+        let least =
+            since.wall.saturating_sub(window).max(low) + 2 * millis(self.settings.claim_ttl);
 
         let (mut asks, mut records, mut size) = (Vec::new(), Vec::new(), 0);
         let mut waiting = std::mem::take(&mut self.asks).into_iter();
--- /dev/null
+++ b/crates/order/tests/sim/mod.rs
@@ -0,0 +1,300 @@
+//! A fleet in memory with faults, on the paused clock: platform, network, dispatchers and leafs.
+
+mod network;
+mod platform;
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use network::Peers;
+use platform::Store;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rattanmast_model::{
+    config::{Collection, Config},
+    host::{Host, Incarnation},
+    leaf::Limits,
+    store::Version,
+};
+use rattanmast_order::{Orders, Settings, clock::Wall, inbox::Inbox, settings::Mutation};
+use tokio::time::{Instant, sleep, sleep_until};
+
+pub const HOSTS: usize = 5;
+pub const COLLECTION: &str = "club-billing";
+
+/// Wall-clock time at the start of a run, in milliseconds since the Unix epoch.
+pub const START: u64 = 1_800_000_000_000;
+
+/// The most by which a host's wall clock is wrong, in milliseconds.
+pub const SKEW: i64 = 200;
+
+pub type Process = Orders<Store, Peers>;
+
+/// Which faults happen, from 0 (never) to 1.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub lose_answer: f64,
+    pub late_write: f64,
+    pub hang: f64,
+    pub connect: f64,
+    pub break_reply: f64,
+    pub duplicate: f64,
+    pub delay: f64,
+    pub shed: f64,
+}
+
+impl Faults {
+    pub fn all(rng: &mut SmallRng) -> Self {
+        let mut share = |most: f64| most * rng.random_range(0.0..1.0f64);
+        Self {
+            lose_answer: share(0.2),
+            late_write: share(0.1),
+            hang: share(0.05),
+            connect: share(0.1),
+            break_reply: share(0.1),
+            duplicate: share(0.3),
+            delay: share(0.1),
+            shed: share(0.1),
+        }
+    }
+}
+
+pub struct Run {
+    pub attempt: u128,
+    pub result: String,
+}
+
+pub struct Slot {
+    pub up: bool,
+    pub incarnation: Incarnation,
+    pub process: Option<Process>,
+    pub inbox: Inbox,
+    pub paused: Instant,
+    pub skew: i64,
+    /// What this host believes of the others: their process run, and until when they are dead.
+    pub heard: Vec<Option<Incarnation>>,
+    pub shunned: Vec<Instant>,
+}
+
+pub struct State {
+    pub rng: SmallRng,
+    pub faults: Faults,
+    pub outage: bool,
+    pub objects: BTreeMap<String, (Version, Vec<u8>)>,
+    pub version: u64,
+    pub calls: BTreeMap<&'static str, u64>,
+    pub slots: Vec<Slot>,
+    /// Runs at the leafs by caller and key.
+    pub runs: BTreeMap<(String, String), Vec<Run>>,
+    /// When a claim of a key last took effect.
+    pub claims: BTreeMap<[u64; 2], Instant>,
+    pub violations: Vec<String>,
+}
+
+#[derive(Clone)]
+pub struct World {
+    state: Arc<Mutex<State>>,
+    start: Instant,
+    pub settings: Settings,
+    pub config: Arc<Config>,
+}
+
+/// One run of a process of a host.
+#[derive(Clone, Copy)]
+pub struct Id {
+    pub host: usize,
+    pub incarnation: Incarnation,
+}
+
+impl World {
+    pub fn new(seed: u64, settings: Settings) -> Self {
+        let now = Instant::now();
+        let slot = |_| Slot {
+            up: false,
+            incarnation: Incarnation(0),
+            process: None,
+            inbox: Inbox::new(Incarnation(0)),
+            paused: now,
+            skew: 0,
+            heard: vec![None; HOSTS],
+            shunned: vec![now; HOSTS],
+        };
+        let state = State {
+            rng: SmallRng::seed_from_u64(seed),
+            faults: Faults::default(),
+            outage: false,
+            objects: BTreeMap::new(),
+            version: 0,
+            calls: BTreeMap::new(),
+            slots: (0..HOSTS).map(slot).collect(),
+            runs: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            violations: Vec::new(),
+        };
+        let world = Self {
+            state: Arc::new(Mutex::new(state)),
+            start: now,
+            settings,
+            config: Arc::new(config()),
+        };
+        for host in 0..HOSTS {
+            world.boot(host);
+            for observer in 0..HOSTS {
+                let incarnation = world.lock().slots[host].incarnation;
+                world.lock().slots[observer].heard[host] = Some(incarnation);
+            }
+        }
+        world
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no test code panics with the lock")
+    }
+
+    pub fn chance(&self, share: impl Fn(&Faults) -> f64) -> bool {
+        let mut state = self.lock();
+        let share = share(&state.faults);
+        share > 0.0 && state.rng.random_bool(share)
+    }
+
+    pub fn random(&self, range: std::ops::Range<u64>) -> u64 {
+        self.lock().rng.random_range(range)
+    }
+
+    pub async fn wait(&self, ms: std::ops::Range<u64>) {
+        sleep(Duration::from_millis(self.random(ms))).await;
+    }
+
+    pub fn true_ms(&self) -> u64 {
+        START + self.start.elapsed().as_millis() as u64
+    }
+
+    pub fn wall_ms(&self, host: usize) -> u64 {
+        self.true_ms()
+            .saturating_add_signed(self.lock().slots[host].skew)
+    }
+
+    /// Passes when the process may run: not while it is paused, and never after its death.
+    pub async fn gate(&self, id: Id) {
+        loop {
+            let paused = {
+                let state = self.lock();
+                let slot = &state.slots[id.host];
+                let alive = slot.up && slot.incarnation == id.incarnation;
+                alive.then_some(slot.paused)
+            };
+            match paused {
+                None => std::future::pending().await,
+                Some(until) if until > Instant::now() => sleep_until(until).await,
+                Some(_) => return,
+            }
+        }
+    }
+
+    pub fn id(&self, host: usize) -> Id {
+        let incarnation = self.lock().slots[host].incarnation;
+        Id { host, incarnation }
+    }
+
+    pub fn process(&self, host: usize) -> Option<Process> {
+        let state = self.lock();
+        let slot = &state.slots[host];
+        slot.process.clone().filter(|_| slot.up)
+    }
+
+    /// Starts a new process run on `host`.
+    pub fn boot(&self, host: usize) {
+        let (incarnation, seed) = {
+            let mut state = self.lock();
+            let before = state.slots[host].incarnation.0;
+            (Incarnation(before + 1), state.rng.random())
+        };
+        let world = self.clone();
+        let id = Id { host, incarnation };
+        let settings = Settings {
+            wall: Wall::new(move || world.wall_ms(host)),
+            ..self.settings.clone()
+        };
+        let (store, peers) = (Store::new(self, id), Peers::new(self, id));
+        let process = Orders::new(name(host).into(), incarnation, store, peers, settings, seed);
+        process.apply(Arc::clone(&self.config));
+        let mut state = self.lock();
+        let slot = &mut state.slots[host];
+        slot.up = true;
+        slot.incarnation = incarnation;
+        slot.inbox = Inbox::new(incarnation);
+        slot.process = Some(process);
+        slot.heard[host] = Some(incarnation);
+    }
+
+    /// Lets the other hosts hear of the process run of `host`, each after a time of its own.
+    pub fn announce(&self, host: usize) {
+        for observer in (0..HOSTS).filter(|o| *o != host) {
+            let world = self.clone();
+            tokio::spawn(async move {
+                world.wait(0..3000).await;
+                let mut state = world.lock();
+                let incarnation = state.slots[host].incarnation;
+                state.slots[observer].heard[host] = Some(incarnation);
+            });
+        }
+    }
+
+    /// Ends the process run of `host` at once.
+    pub fn kill(&self, host: usize) {
+        self.lock().slots[host].up = false;
+    }
+}
+
+pub fn name(host: usize) -> &'static str {
+    ["h0", "h1", "h2", "h3", "h4"][host]
+}
+
+fn config() -> Config {
+    let addr = ([127, 0, 0, 1], 1).into();
+    let host = |index: usize| Host {
+        name: name(index).into(),
+        domain: ["bern", "geneva", "zurich"][index % 3].into(),
+        http: addr,
+        hop: addr,
+        exchange: addr,
+    };
+    let limits = Limits {
+        slots: 4,
+        connections: 45,
+        open_ms: 1,
+    };
+    Config {
+        hosts: (0..HOSTS).map(host).collect(),
+        collections: vec![Collection {
+            name: COLLECTION.into(),
+            services: 1,
+            leafs: 4,
+            limits,
+        }],
+        ..Config::default()
+    }
+}
+
+/// Settings with a window short enough that keys expire within a run.
+pub fn settings(mutation: Mutation) -> Settings {
+    Settings {
+        window: Duration::from_secs(30),
+        ahead: Duration::from_secs(5),
+        checkpoint: 5,
+        idle: Duration::from_secs(8),
+        mutation,
+        ..Settings::default()
+    }
+}
+
+/// Returns the text of a UUIDv7.
+pub fn uuid(ms: u64, random: u64) -> String {
+    let (high, low) = (ms >> 16, ms & 0xffff);
+    let (a, b) = (random & 0xfff, random >> 16);
+    format!("{high:08x}-{low:04x}-7{a:03x}-8000-{b:012x}")
+}
--- /dev/null
+++ b/crates/order/tests/sim/network.rs
@@ -0,0 +1,196 @@
+//! Calls between hosts, and the dispatchers and leafs behind them.
+
+use std::time::Duration;
+
+use rattanmast_model::{
+    host::{Incarnation, Name},
+    outcome::{Outcome, Reason},
+    peer::{self, Error, Order, Result, Step, Subquery, Subreply},
+};
+use rattanmast_order::key::Identity;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout},
+};
+
+use super::{HOSTS, Id, Run, SKEW, World, name};
+
+/// Times on the way from a claim to a leaf, without faults.
+const WAY: Duration = Duration::from_millis(500);
+
+#[derive(Clone)]
+pub struct Peers {
+    world: World,
+    id: Id,
+}
+
+fn not_run(reason: Reason) -> Outcome {
+    Outcome::NotRun {
+        reason,
+        remedy: "try again".into(),
+    }
+}
+
+impl Peers {
+    pub fn new(world: &World, id: Id) -> Self {
+        let world = world.clone();
+        Self { world, id }
+    }
+
+    fn index(host: &Name) -> usize {
+        (0..HOSTS)
+            .find(|h| name(*h) == host)
+            .expect("a host of the roster")
+    }
+
+    /// Delivers `message` and the reply, each of which may be lost.
+    async fn call(&self, host: usize, message: Order) -> Result<Outcome> {
+        let (target, error) = (name(host), |why: &str| Error::Broken {
+            host: name(host).into(),
+            why: why.into(),
+        });
+        self.world.gate(self.id).await;
+        let up = self.world.lock().slots[host].up;
+        if !up || self.world.chance(|f| f.connect) {
+            let host = target.into();
+            return Err(Error::Connect { host });
+        }
+        if self.world.chance(|f| f.duplicate) {
+            let (world, message) = (self.world.clone(), message.clone());
+            tokio::spawn(async move {
+                world.wait(0..40_000).await;
+                world.serve(host, message).await;
+            });
+        }
+        let (reply, answer) = oneshot::channel();
+        let (world, me) = (self.world.clone(), self.id);
+        tokio::spawn(async move {
+            world.wait(1..4).await;
+            if world.chance(|f| f.delay) {
+                world.wait(10..20_000).await;
+            }
+            let outcome = world.serve(host, message).await;
+            world.wait(1..4).await;
+            world.gate(me).await;
+            let _ = reply.send(outcome);
+        });
+        if self.world.chance(|f| f.break_reply) {
+            self.world.wait(1..100).await;
+            return Err(error("connection reset"));
+        }
+        let answer = answer.await.map_err(|_| error("closed"))?;
+        Ok(answer)
+    }
+}
+
+impl World {
+    /// Lets the process that runs on `host` now serve `message`.
+    async fn serve(&self, host: usize, message: Order) -> Outcome {
+        let id = self.id(host);
+        self.gate(id).await;
+        let Some(process) = self.process(host) else {
+            return std::future::pending().await;
+        };
+        let outcome = match message.step {
+            Step::Claim => process.accept(message).await,
+            Step::Dispatch => self.dispatch(id, message).await,
+        };
+        self.gate(id).await;
+        outcome
+    }
+
+    /// Sends an order to a leaf, as a dispatcher does.
+    async fn dispatch(&self, id: Id, message: Order) -> Outcome {
+        if let Err(refusal) = self.lock().slots[id.host].inbox.admit(&message) {
+            return refusal;
+        }
+        if self.chance(|f| f.shed) {
+            return not_run(Reason::Overload);
+        }
+        self.wait(0..20).await;
+        if self.wall_ms(id.host) > message.not_after_ms {
+            return not_run(Reason::Late);
+        }
+        // A pause may fall between the check and the send.
+        self.gate(id).await;
+        self.wait(0..5).await;
+        if self.true_ms() > message.not_after_ms {
+            return not_run(Reason::Late);
+        }
+        let outcome = self.run(&message);
+        self.wait(2..30).await;
+        if self.chance(|f| f.break_reply) {
+            return Outcome::Unknown {
+                remedy: "look".into(),
+            };
+        }
+        outcome
+    }
+
+    /// The leaf begins the order.
+    fn run(&self, message: &Order) -> Outcome {
+        let mut state = self.lock();
+        let identity = Identity::new(&message.caller, &message.key);
+        let claimed = state.claims.get(&identity.0).copied();
+        let limit = self.settings.claim_ttl + WAY + Duration::from_millis(SKEW.unsigned_abs());
+        if let Some(age) = claimed.map(|at| at.elapsed()).filter(|age| *age > limit) {
+            let violation = format!("key {} ran {age:?} after its claim", message.key);
+            state.violations.push(violation);
+        }
+        let key = (message.caller.to_string(), message.key.to_string());
+        let runs = state.runs.entry(key).or_default();
+        let attempt = message
+            .trace
+            .expect("attempts are told apart by trace")
+            .trace;
+        let result = format!("run {} of attempt {attempt}", runs.len());
+        runs.push(Run {
+            attempt,
+            result: result.clone(),
+        });
+        let result = result.into();
+        Outcome::Done { result }
+    }
+}
+
+impl peer::Peers for Peers {
+    async fn subquery(&self, _: &Name, _: Subquery, _: Duration) -> Result<Subreply> {
+        std::future::pending().await
+    }
+
+    async fn order(&self, host: &Name, message: Order, limit: Duration) -> Result<Outcome> {
+        let why = "no reply in time".into();
+        let index = Self::index(host);
+        timeout(limit, self.call(index, message))
+            .await
+            .unwrap_or(Err(Error::Broken {
+                host: host.clone(),
+                why,
+            }))
+    }
+
+    async fn outcome(&self, host: &Name, caller: &str, key: &str) -> Result<Option<Outcome>> {
+        let index = Self::index(host);
+        self.world.gate(self.id).await;
+        self.world.wait(1..4).await;
+        let id = self.world.id(index);
+        self.world.gate(id).await;
+        let process = self.world.process(index);
+        let host = host.clone();
+        process
+            .map(|p| p.local(caller, key))
+            .ok_or(Error::Connect { host })
+    }
+
+    fn incarnation(&self, host: &Name) -> Option<Incarnation> {
+        self.world.lock().slots[self.id.host].heard[Self::index(host)]
+    }
+
+    fn usable(&self, host: &Name) -> bool {
+        let index = Self::index(host);
+        index == self.id.host || {
+            let state = self.world.lock();
+            state.slots[self.id.host].shunned[index] <= Instant::now()
+        }
+    }
+}
--- /dev/null
+++ b/crates/order/tests/sim/platform.rs
@@ -0,0 +1,172 @@
+//! The platform's store: slow, down, with lost answers and with writes that take effect late.
+
+use std::time::Duration;
+
+use rattanmast_model::store::{self, Error, Object, Result, VALUE_LIMIT, Version};
+use tokio::time::{Instant, sleep};
+
+use super::{Id, State, World};
+
+#[derive(Clone)]
+pub struct Store {
+    world: World,
+    id: Id,
+}
+
+enum Write {
+    Create,
+    Update(Version),
+    Delete,
+}
+
+impl Store {
+    pub fn new(world: &World, id: Id) -> Self {
+        let world = world.clone();
+        Self { world, id }
+    }
+
+    async fn half(&self, call: &'static str) -> Result<()> {
+        *self.world.lock().calls.entry(call).or_default() += 1;
+        self.world.gate(self.id).await;
+        self.world.wait(1..5).await;
+        if self.world.chance(|f| f.hang) {
+            self.world.wait(500..20_000).await;
+        }
+        self.world.gate(self.id).await;
+        let why = || "outage".to_owned();
+        let outage = self.world.lock().outage;
+        if outage {
+            Err(Error::Down { why: why() })
+        } else {
+            Ok(())
+        }
+    }
+
+    async fn back(&self) {
+        self.world.wait(1..5).await;
+        self.world.gate(self.id).await;
+    }
+
+    async fn write(
+        &self,
+        call: &'static str,
+        name: &str,
+        write: Write,
+        value: &[u8],
+    ) -> Result<Version> {
+        self.half(call).await?;
+        assert!(
+            value.len() <= VALUE_LIMIT,
+            "value of {name} is over the limit"
+        );
+        let lost = || Error::Lost {
+            why: "fault".into(),
+        };
+        if self.world.chance(|f| f.late_write) {
+            let (world, name, value) = (self.world.clone(), name.to_owned(), value.to_vec());
+            tokio::spawn(async move {
+                world.wait(0..8000).await;
+                let _ = apply(&mut world.lock(), &name, &write, &value);
+            });
+            self.back().await;
+            return Err(lost());
+        }
+        let result = apply(&mut self.world.lock(), name, &write, value);
+        self.back().await;
+        // An answer that is lost after an outage began says nothing either.
+        if self.world.chance(|f| f.lose_answer) {
+            Err(lost())
+        } else {
+            result
+        }
+    }
+}
+
+fn apply(state: &mut State, name: &str, write: &Write, value: &[u8]) -> Result<Version> {
+    let current = state.objects.get(name).map(|(version, _)| *version);
+    let name = name.to_owned();
+    match (write, current) {
+        (Write::Create, Some(_)) => return Err(Error::Conflict { name }),
+        (Write::Update(_), None) => return Err(Error::Missing { name }),
+        (Write::Update(version), Some(now)) if *version != now => {
+            return Err(Error::Conflict { name });
+        }
+        (Write::Delete, _) => {
+            state.objects.remove(&name);
+            return Ok(Version(0));
+        }
+        _ => {}
+    }
+    if name.starts_with("claims/") {
+        note_claims(state, value);
+    }
+    state.version += 1;
+    let version = Version(state.version);
+    state.objects.insert(name, (version, value.to_vec()));
+    Ok(version)
+}
+
+/// Notes when each key was claimed.
+fn note_claims(state: &mut State, value: &[u8]) {
+    let batch: serde_json::Value = serde_json::from_slice(value).expect("a batch is JSON");
+    for record in batch["records"].as_array().expect("a batch has records") {
+        if record[6] == "c" {
+            let word = |i: usize| record[0][i].as_u64().expect("an identity is two numbers");
+            state.claims.insert([word(0), word(1)], Instant::now());
+        }
+    }
+}
+
+impl store::Store for Store {
+    async fn get(&self, name: &str) -> Result<Object> {
+        self.half("get").await?;
+        let found = self.world.lock().objects.get(name).cloned();
+        self.back().await;
+        let name = name.to_owned();
+        match found {
+            Some((version, value)) => Ok(Object {
+                name,
+                version,
+                value,
+            }),
+            None => Err(Error::Missing { name }),
+        }
+    }
+
+    async fn create(&self, name: &str, value: &[u8]) -> Result<Version> {
+        self.write("create", name, Write::Create, value).await
+    }
+
+    async fn update(&self, name: &str, version: Version, value: &[u8]) -> Result<Version> {
+        self.write("update", name, Write::Update(version), value)
+            .await
+    }
+
+    async fn delete(&self, name: &str) -> Result<()> {
+        self.write("delete", name, Write::Delete, &[])
+            .await
+            .map(drop)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Object>> {
+        self.half("list").await?;
+        let objects = {
+            let state = self.world.lock();
+            let from = state.objects.range(prefix.to_owned()..);
+            from.take_while(|(name, _)| name.starts_with(prefix))
+                .map(|(name, (version, value))| Object {
+                    name: name.clone(),
+                    version: *version,
+                    value: value.clone(),
+                })
+                .collect()
+        };
+        self.back().await;
+        Ok(objects)
+    }
+
+    async fn watch(&self, _: &str, _: Version, wait: Duration) -> Result<Option<Object>> {
+        sleep(wait).await;
+        Ok(None)
+    }
+}
