Check answers against the records under random faults

Change: a test fleet of a root, dispatchers and leafs in memory, and a property test that repartitions data, publishes versions, and doubles, delays, reorders, splits and spoils replies while queries run.

--- /dev/null
+++ b/crates/gather/tests/queries.rs
@@ -0,0 +1,85 @@
+//! Properties of whole queries under random faults, against the records themselves.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Mode, STONES, World, check, paused, query};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_model::{config::Priority, outcome::Outcome, rank::Rank};
+use tokio::time::sleep;
+
+/// Changes where data is, now; the root's catalog may lag behind the leafs.
+fn repartition(world: &mut World, random: &mut SmallRng) {
+    let parts = world.data.newest(STONES).parts.len();
+    let index = random.random_range(0..parts);
+    match random.random_range(0..4) {
+        0 if parts < 24 => world.data.split(STONES, index),
+        1 if index + 1 < parts => world.data.merge(STONES, index),
+        2 => world.data.shift(STONES, index, random.random_range(0..6)),
+        _ => drop(world.data.publish(STONES)),
+    }
+    world.fleet.load(&world.data);
+    if random.random_bool(0.7) {
+        world.apply();
+    }
+}
+
+/// Guards against answers that mix snapshots, claim too much, or hold a row twice or not at all,
+/// when data is split, merged and moved, versions change, and replies are doubled, late,
+/// reordered, of another process run or of another snapshot, all while queries run.
+#[test]
+fn answers_are_true_under_random_faults() {
+    let (mut answers, mut whole) = (0, 0);
+    bolero::check!()
+        .exhaustive()
+        .with_generator(0..150u64)
+        .cloned()
+        .for_each(|seed| {
+            paused(async {
+                let mut random = SmallRng::seed_from_u64(seed);
+                let mut world = World::new(seed);
+                for host in world.data.hosts.clone() {
+                    if random.random_bool(0.4) {
+                        world.net.mode(&host.name, Mode::Chaos);
+                    }
+                }
+                let queries = (0..8).map(|i| {
+                    let root = world.root.clone();
+                    let wait = Duration::from_millis(random.random_range(0..40));
+                    let priority = [Priority::Time, Priority::Coverage][i % 2];
+                    let q = query(
+                        Rank::ALL[i % 3],
+                        random.random_range(10..200),
+                        0.3,
+                        priority,
+                    );
+                    tokio::spawn(async move {
+                        sleep(wait).await;
+                        root.query(q).await
+                    })
+                });
+                let queries: Vec<_> = queries.collect();
+                for _ in 0..6 {
+                    sleep(Duration::from_millis(random.random_range(0..15))).await;
+                    repartition(&mut world, &mut random);
+                }
+                for result in futures::future::join_all(queries).await {
+                    match result.expect("no query panics") {
+                        Ok(answer) => {
+                            check(&answer);
+                            answers += 1;
+                            whole += usize::from(answer.missing.is_empty());
+                        }
+                        Err(Outcome::NotRun { .. } | Outcome::Unknown { .. }) => {}
+                        Err(other) => panic!("{other:?} is no outcome of a query"),
+                    }
+                }
+            });
+        });
+    // The test shows nothing if faults prevent all answers.
+    assert!(
+        answers > 300 && whole > 100,
+        "{answers} answers, {whole} whole"
+    );
+}
