--- a/crates/gather/src/attempt.rs
+++ b/crates/gather/src/attempt.rs
@@ -25,6 +25,9 @@
     run::{End, Event, Run, Step},
 };
 
+/// The share of a query's time that its refusal may take, so that callers hear early.
+const GRACE: f64 = 0.05;
+
 /// A query at one snapshot.
 pub(crate) struct Attempt<'r, 'a, P, Y> {
     pub(crate) run: &'r mut Run<'a, P, Y>,
@@ -43,6 +46,8 @@
     /// Whether the least acceptable coverage was reached, if time goes first.
     enough: bool,
     pub(crate) restart: Option<Pin>,
+    /// When to stop waiting for the last replies of a query that cannot succeed.
+    doomed: Option<Instant>,
 }
 
 impl<'r, 'a, P: Peers, Y: Policy> Attempt<'r, 'a, P, Y> {
@@ -59,6 +64,7 @@
             check: run.deadline,
             enough: false,
             restart: None,
+            doomed: None,
             run,
             pin,
         };
@@ -72,15 +78,36 @@
             return Some(End::Restart(pin));
         }
         let now = Instant::now();
-        let least = self.run.query.search.least_coverage;
         let done = idle
             || self.cover.whole()
             || now >= self.run.deadline
             || (self.enough && now >= self.hopeless())
-            || claim::reachable(&self.pin.parts, &self.given_up()) < least;
+            || self.refused(now);
         done.then_some(End::Done)
     }
 
+    /// Tells whether the query cannot succeed, and how it ended is known well enough.
+    ///
+    /// While no leaf is known to have begun, the open dispatchers get a short
+    /// time to say that theirs did not begin either. Most refuse together.
+    fn refused(&mut self, now: Instant) -> bool {
+        let given_up = self.given_up();
+        let least = self.run.query.search.least_coverage;
+        if claim::reachable(&self.pin.parts, &given_up) >= least {
+            self.doomed = None;
+            return false;
+        }
+        let begun = self.run.begun || !self.cover.keys().is_empty();
+        let grace = self.run.time.mul_f64(GRACE);
+        let until = *self.doomed.get_or_insert(now + grace);
+        begun || self.open.is_empty() || now >= until
+    }
+
+    /// Tells whether the query cannot succeed any more.
+    pub(crate) const fn doomed(&self) -> bool {
+        self.doomed.is_some()
+    }
+
     /// Returns the keys that were given up and that no open message may still find.
     fn given_up(&self) -> Set {
         let mut lost = self.lost.clone();
@@ -95,6 +122,7 @@
     /// Returns when to look again if nothing happens.
     pub(crate) fn wake(&self) -> Instant {
         let wake = self.run.deadline.min(self.check);
+        let wake = self.doomed.map_or(wake, |until| until.min(wake));
         if self.enough {
             wake.min(self.hopeless())
         } else {
--- a/crates/gather/src/claim.rs
+++ b/crates/gather/src/claim.rs
@@ -29,7 +29,9 @@
 /// records of missing keys come from the catalog. Once a leaf's count contradicts
 /// the catalog, or if `trusted` is false, each missing key counts as a record,
 /// which no count can exceed. A catalog count that is too low to be the chance of
-/// hashing, given the accepted keys, is replaced by a high estimate.
+/// hashing, given the accepted keys, is replaced by a high estimate. A wrong count
+/// that no reply contradicts and that hashing can produce is believed: nothing else
+/// is known of keys that nobody searched.
 pub fn claim(cover: &Cover, parts: &[Part], trusted: bool) -> Claim {
     let records = cover.records();
     if cover.whole() {
--- a/crates/gather/src/missed.rs
+++ b/crates/gather/src/missed.rs
@@ -87,6 +87,9 @@
 
     /// Asks for `items` again after `delay`; moved data needs some time to arrive.
     pub(crate) fn later(&mut self, items: Vec<Item>, delay: Duration) {
+        if items.is_empty() || self.doomed() {
+            return;
+        }
         let (charged, free): (Vec<_>, Vec<_>) = items.into_iter().partition(|i| i.charged);
         if !free.is_empty() {
             self.send(free);
@@ -139,13 +142,20 @@
         self.steps.push(Step::Wait(until, vec![item]));
     }
 
-    /// Tells whether there is time to ask `host`, or any host, again.
+    /// Tells whether there is time to ask `host`, or all hosts, again.
     pub(crate) fn timely(&self, host: Option<&host::Name>) -> bool {
         let shared = self.run.shared;
-        let mean = host
-            .and_then(|host| shared.pace.times(host, self.run.query.rank))
-            .map_or(shared.settings.least_time, |(mean, _)| mean);
-        self.run.left() > shared.settings.hop_margin + mean
+        let mean = |host| Some(shared.pace.times(host, self.run.query.rank)?.0);
+        let usual = match host {
+            Some(host) => mean(host),
+            None => {
+                let open = self.open.open().filter_map(|open| mean(&open.host));
+                let heard = self.run.hops.iter().filter_map(|hop| mean(&hop.host));
+                open.chain(heard).max()
+            }
+        };
+        let usual = usual.unwrap_or(shared.settings.least_time);
+        self.run.left() > shared.settings.hop_margin + usual
     }
 
     /// Returns `items` with only the ranges that are not accepted yet.
--- a/crates/gather/src/place.rs
+++ b/crates/gather/src/place.rs
@@ -23,7 +23,8 @@
 ///
 /// The catalog's newest data for `snapshot` goes first. The layouts of other
 /// snapshots follow, because data that moved while the catalog lagged is often
-/// where they say; `snapshot` itself is asked for there too.
+/// where they say; `snapshot` itself is asked for there too. Last are the
+/// services next to the keys, because splits and merges move data there.
 pub(crate) fn elsewhere(
     catalog: &Catalog,
     snapshot: Snapshot,
@@ -33,11 +34,12 @@
     let mut versions: Vec<_> = catalog.versions.iter().collect();
     versions.sort_unstable_by_key(|v| (v.snapshot != snapshot, std::cmp::Reverse(v.snapshot)));
     let (mut asks, mut rest) = (Vec::new(), missing);
-    for part in versions.into_iter().flat_map(|v| &v.parts) {
-        if tried
-            .iter()
-            .any(|(s, l)| *s == part.service && *l == part.leafs)
-        {
+    let tried = |part: &Part| {
+        let mut tried = tried.iter();
+        tried.any(|(service, leafs)| *service == part.service && *leafs == part.leafs)
+    };
+    for part in versions.iter().flat_map(|v| &v.parts) {
+        if tried(part) {
             continue;
         }
         for range in rest.ranges().to_vec() {
@@ -47,6 +49,15 @@
             }
         }
     }
+    let parts = versions.first().map_or(&[][..], |v| &v.parts);
+    for range in rest.ranges().to_vec() {
+        let before = parts.iter().rev().find(|p| p.range.end <= range.start);
+        let after = parts.iter().find(|p| p.range.start >= range.end);
+        if let Some(part) = before.into_iter().chain(after).find(|p| !tried(p)) {
+            add(&mut asks, part, range);
+            rest.remove(range);
+        }
+    }
     (asks, rest)
 }
 
--- a/crates/gather/src/run.rs
+++ b/crates/gather/src/run.rs
@@ -1,6 +1,6 @@
 //! One query from its admission to its answer.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use rattanmast_model::{
@@ -28,6 +28,8 @@
 pub(crate) struct Run<'a, P, Y> {
     pub(crate) shared: &'a Shared<P, Y>,
     pub(crate) query: &'a Query,
+    /// The whole time of the query.
+    pub(crate) time: Duration,
     pub(crate) deadline: Instant,
     /// Whether the query has restarted at a newer snapshot.
     pub(crate) restarted: bool,
@@ -68,6 +70,7 @@
         Self {
             shared,
             query,
+            time,
             deadline: Instant::now() + time,
             restarted: false,
             begun: false,
@@ -100,7 +103,7 @@
     }
 
     /// Returns the time left.
-    pub(crate) fn left(&self) -> std::time::Duration {
+    pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
--- a/crates/gather/tests/common/mod.rs
+++ b/crates/gather/tests/common/mod.rs
@@ -61,6 +61,8 @@
     runs: Map<host::Name, Incarnation>,
     old: Option<Subreply>,
     calls: u64,
+    open: usize,
+    longest_budget: u32,
 }
 
 /// The network between the hosts.
@@ -92,6 +94,16 @@
         self.lock().calls
     }
 
+    /// Returns the number of calls that have not ended.
+    pub fn open(&self) -> usize {
+        self.lock().open
+    }
+
+    /// Returns the longest time that a message gave its dispatcher, in milliseconds.
+    pub fn longest_budget(&self) -> u32 {
+        self.lock().longest_budget
+    }
+
     /// Spoils `reply` in one of the ways that matching and coverage guard against.
     fn spoil(&self, mut reply: Subreply, message: &Subquery) -> peer::Result<Subreply> {
         let old = self.lock().old.replace(reply.clone());
@@ -156,10 +168,13 @@
         let (mode, dispatcher, run) = {
             let mut state = self.lock();
             state.calls += 1;
+            state.open += 1;
+            state.longest_budget = state.longest_budget.max(message.budget_ms);
             let mode = state.modes.get(host).copied().unwrap_or_default();
             let run = state.runs.get(host).copied().unwrap_or_default();
             (mode, state.dispatchers.get(host).cloned(), run)
         };
+        let _call = Call(self.clone());
         let dispatcher = dispatcher.expect("the host is in the roster");
         sleep(Duration::from_millis(1)).await;
         let reply = match mode {
@@ -188,6 +203,15 @@
     }
 }
 
+/// A call that is open until it is dropped.
+struct Call(Net);
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.0.lock().open -= 1;
+    }
+}
+
 impl Peers for Net {
     async fn subquery(
         &self,
