Let hedges wait in the queue

Cause: hedges were refused whenever the other leaf had no free connection, so stragglers stayed; cancellations without an idle connection closed one.

Change: a hedge waits for its turn in the queue and gives its budget back if the first try ends before; a cancellation waits up to 7 ms for a connection.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -7,7 +7,10 @@
     request,
 };
 use smol_str::SmolStr;
-use tokio::{sync::oneshot, time::Instant};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, sleep_until},
+};
 
 use crate::{
     lease::{After, Lease, Showed},
@@ -15,6 +18,16 @@
     service::Service,
 };
 
+/// Pauses between tries to get an idle connection for a cancellation.
+///
+/// Closing the connection of the search instead would cost the opening of another one.
+const PAUSES: [Duration; 4] = [
+    Duration::from_millis(1),
+    Duration::from_millis(2),
+    Duration::from_millis(4),
+    Duration::ZERO,
+];
+
 /// How a search at a leaf ended.
 #[derive(Debug)]
 pub(crate) enum End {
@@ -114,7 +127,7 @@
                     Halt::Unanswered => Stop::Close,
                 };
             }
-            () = tokio::time::sleep_until(check) => {}
+            () = sleep_until(check) => {}
         }
         if place.service.is_overdue() {
             return Stop::Close;
@@ -156,7 +169,7 @@
         let spare = tokio::select! {
             biased;
             answer = &mut call => return Halt::Answer(answer),
-            spare = service.spare(replica, open) => spare,
+            spare = spare(place, open) => spare,
         };
         let Some(spare) = spare else {
             return Halt::Unanswered;
@@ -176,6 +189,17 @@
     }
 }
 
+/// Takes a connection for a cancellation, as soon as one is idle.
+async fn spare<C: Connector, P: Policy>(place: &Place<C, P>, open: bool) -> Option<C::Link> {
+    for pause in PAUSES {
+        if let Some(spare) = place.service.spare(place.replica, open).await {
+            return Some(spare);
+        }
+        sleep(pause).await;
+    }
+    None
+}
+
 /// Checks an answer against its request, and what it shows of the leaf.
 fn judge<C: Connector, P: Policy>(
     lease: &Lease<C, P>,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -367,8 +367,9 @@
         deadline: Instant,
         now: Instant,
     ) -> bool {
+        let headroom = self.shared.settings.headroom;
         let overloaded = |s: &Arc<Service<C, P>>| {
-            s.lock().check(message.rank, deadline, now, &self.shared) == Err(Cause::Overload)
+            s.lock().check(message.rank, deadline, now, headroom) == Err(Cause::Overload)
         };
         message.priority == Priority::Coverage
             && services.len() > 1
--- a/crates/dispatch/src/hedge.rs
+++ b/crates/dispatch/src/hedge.rs
@@ -29,6 +29,8 @@
     fn level(&self, rank: Rank, open: Open) -> Option<Level>;
     /// Takes one hedge out of the budget, if there is one.
     fn spend(&mut self, rank: Rank) -> bool;
+    /// Puts back a hedge that was not sent.
+    fn refund(&mut self);
 }
 
 /// Hedges on evidence, within a budget of [`SHARE`] of the first tries.
@@ -71,6 +73,10 @@
         }
         afford
     }
+
+    fn refund(&mut self) {
+        self.credit = (self.credit + 1.0).min(BURST);
+    }
 }
 
 /// Never hedges.
@@ -91,4 +97,6 @@
     fn spend(&mut self, _rank: Rank) -> bool {
         false
     }
+
+    fn refund(&mut self) {}
 }
--- a/crates/dispatch/src/search.rs
+++ b/crates/dispatch/src/search.rs
@@ -7,6 +7,7 @@
     leaf::{self, Connector},
     peer::{Ask, Cause, Subquery},
     range,
+    rank::Rank,
 };
 use tokio::time::{Instant, sleep_until};
 
@@ -114,9 +115,12 @@
             let end = tokio::select! {
                 biased;
                 end = next(&mut self.attempts) => end,
-                () = wait_until(hedge) => {
-                    hedge = self.hedge();
-                    continue;
+                () = wait_until(hedge) => match self.hedge().await {
+                    Hedged::Ended(end) => end,
+                    Hedged::Again(at) => {
+                        hedge = at;
+                        continue;
+                    }
                 }
             };
             let (replica, end) = end;
@@ -207,13 +211,14 @@
             return self.repeat().await.map_err(|_| cause);
         }
         let failed = cause == Cause::Unreachable;
-        if others && failed && self.service.lock().hedge.spend(self.message.rank) {
-            self.service.shared.counters.hedges.add(1);
-            let lease = self.acquire().await.map_err(|_| cause)?;
-            self.start(lease);
-            return Ok(());
-        }
-        Err(cause)
+        let token = (others && failed).then(|| Token::take(self.service, self.message.rank));
+        let Some(Some(token)) = token else {
+            return Err(cause);
+        };
+        let lease = self.acquire().await.map_err(|_| cause)?;
+        token.spend();
+        self.start(lease);
+        Ok(())
     }
 
     fn open(&self) -> Open {
@@ -233,24 +238,70 @@
         let level = state.hedge.level(rank, self.open())?;
         let slow = state.slow(first.replica, rank, level)?;
         let at = first.sent + slow;
-        // A hedge that was not possible is tried again after a quarter of the time.
-        Some(if at > now { at } else { now + slow / 4 })
+        // A hedge that was not possible is tried again after half of the time.
+        Some(if at > now { at } else { now + slow / 2 })
     }
 
-    /// Sends the search to another leaf if there is evidence, budget and room for it.
-    fn hedge(&mut self) -> Option<Instant> {
+    /// Sends the search to another leaf too, if there is evidence, budget and room for it.
+    ///
+    /// It waits for its turn like any request. A long wait shows that slowness comes from load.
+    async fn hedge(&mut self) -> Hedged {
         let Some(first) = &self.attempts[0] else {
-            return None;
+            return Hedged::Again(None);
         };
+        let (service, rank) = (self.service, self.message.rank);
         let others = self.eligible & !(1 << first.replica);
-        let lease = self.service.hedge(self.message.rank, self.deadline, others);
-        match lease {
-            Some(lease) => {
-                self.service.shared.counters.hedges.add(1);
-                self.start(lease);
-                None
-            }
-            None => self.hedge_at(Instant::now()),
+        let (now, waited) = (Instant::now(), first.sent.elapsed());
+        let queued = service.lock().waits(now)[rank.index()];
+        let token = (queued < waited / 2).then(|| Token::take(service, rank));
+        let Some(Some(token)) = token else {
+            return Hedged::Again(self.hedge_at(now));
+        };
+        let lease = tokio::select! {
+            biased;
+            end = next(&mut self.attempts) => return Hedged::Ended(end),
+            lease = service.wait(rank, self.deadline, others) => lease,
+        };
+        let Ok(lease) = lease else {
+            return Hedged::Again(self.hedge_at(Instant::now()));
+        };
+        token.spend();
+        self.start(lease);
+        Hedged::Again(None)
+    }
+}
+
+/// What became of the wait for a hedge.
+enum Hedged {
+    /// An attempt ended before the hedge was sent.
+    Ended((usize, End)),
+    /// When to hedge next, if at all.
+    Again(Option<Instant>),
+}
+
+/// One hedge out of the budget; dropping it unspent puts it back.
+struct Token<'a, C: Connector, P: Policy> {
+    service: &'a Service<C, P>,
+    spent: bool,
+}
+
+impl<'a, C: Connector, P: Policy> Token<'a, C, P> {
+    fn take(service: &'a Service<C, P>, rank: Rank) -> Option<Self> {
+        let spent = false;
+        let taken = service.lock().hedge.spend(rank);
+        taken.then_some(Self { service, spent })
+    }
+
+    fn spend(mut self) {
+        self.spent = true;
+        self.service.shared.counters.hedges.add(1);
+    }
+}
+
+impl<C: Connector, P: Policy> Drop for Token<'_, C, P> {
+    fn drop(&mut self) {
+        if !self.spent {
+            self.service.lock().hedge.refund();
         }
     }
 }
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -15,7 +15,6 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    hedge::Hedge as _,
     lanes::Lanes as _,
     lease::Lease,
     policy::Policy,
@@ -177,6 +176,23 @@
         rank: Rank,
         deadline: Instant,
         eligible: u64,
+    ) -> Result<Lease<C, P>, Cause> {
+        let result = self.wait(rank, deadline, eligible).await;
+        let counters = &self.shared.counters;
+        match &result {
+            Err(Cause::Overload) => counters.refused.add(1),
+            Err(Cause::Late) => counters.late.add(1),
+            _ => {}
+        }
+        result
+    }
+
+    /// Gets the right to one request at a leaf without counting a refusal.
+    pub(crate) async fn wait(
+        self: &Arc<Self>,
+        rank: Rank,
+        deadline: Instant,
+        eligible: u64,
     ) -> Result<Lease<C, P>, Cause> {
         let (mut waiting, latest) = match self.enter(rank, deadline, eligible)? {
             Entered::Now(lease) => return Ok(lease),
@@ -186,10 +202,7 @@
         tokio::select! {
             biased;
             granted = &mut waiting.granted => granted.unwrap_or(Err(Cause::Unreachable)),
-            () = tokio::time::sleep_until(latest) => {
-                self.shared.counters.late.add(1);
-                Err(Cause::Late)
-            }
+            () = tokio::time::sleep_until(latest) => Err(Cause::Late),
         }
     }
 
@@ -207,7 +220,8 @@
         if state.usable(now) & eligible == 0 {
             return Err(Cause::Unreachable);
         }
-        let latest = state.check(rank, deadline, now, &self.shared)?;
+        let headroom = self.shared.settings.headroom;
+        let latest = state.check(rank, deadline, now, headroom)?;
         let (lane, by) = state.lanes.place(rank, now, deadline);
         if state.queue.is_empty() {
             let owed = state.lanes.order().contains(&(lane, true));
@@ -229,29 +243,6 @@
         };
         Ok(Entered::Later(waiting, latest))
     }
-
-    /// Takes another replica for a hedge, if that is free of cost to waiting work.
-    pub(crate) fn hedge(
-        self: &Arc<Self>,
-        rank: Rank,
-        deadline: Instant,
-        eligible: u64,
-    ) -> Option<Lease<C, P>> {
-        let now = Instant::now();
-        let mut state = self.lock();
-        if !self.shared.is_serving() || state.role.position.is_none() || !state.queue.is_empty() {
-            return None;
-        }
-        let lane = state.lanes.place(rank, now, deadline).0;
-        if now + state.load.cost(rank) > deadline || !state.is_free(lane, false, eligible, now) {
-            return None;
-        }
-        if !state.hedge.spend(rank) {
-            return None;
-        }
-        let taken = state.take(rank, lane, false, eligible, now)?;
-        Some(Lease::new(self, rank, taken))
-    }
 }
 
 enum Entered<C: Connector, P: Policy> {
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -22,7 +22,6 @@
     policy::Policy,
     queue::{Entry, Key, Queue},
     replica::Replica,
-    service::Shared,
 };
 
 /// Waiting requests of a lane that are looked at for one that a free leaf may take.
@@ -209,19 +208,17 @@
         rank: Rank,
         deadline: Instant,
         now: Instant,
-        shared: &Shared<C>,
+        headroom: f64,
     ) -> Result<Instant, Cause> {
         if !P::Lanes::EARLY {
             return Ok(deadline);
         }
         let cost = self.load.cost(rank);
         if now + cost > deadline {
-            shared.counters.late.add(1);
             return Err(Cause::Late);
         }
-        let wait = self.waits(now)[rank.index()].mul_f64(shared.settings.headroom);
+        let wait = self.waits(now)[rank.index()].mul_f64(headroom);
         if now + wait + cost > deadline {
-            shared.counters.refused.add(1);
             return Err(Cause::Overload);
         }
         Ok(deadline - cost)
