Test connections, silence, leaving leafs and orders

Cause: nothing showed that the limits and guarantees hold.

The limit grows faster above the leaf's slots, since a queue formed at the start.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -45,7 +45,7 @@
 const CONGESTED: f64 = 2.0;
 /// Shortest time between two reductions for sheds or failures: they come in groups.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Replies at each step of the growth from a cold start.
+/// Replies at each step of the growth from a cold start, for each request in flight.
 const STEP: f64 = 8.0;
 
 /// A limit that follows the latency gradient, sheds and failures.
@@ -115,7 +115,9 @@
         if ratio > CONGESTED {
             self.limit = (self.limit * 0.98).max(1.0);
         } else if ratio < CALM && saturated {
-            self.limit = (self.limit + 1.0 / (STEP * self.limit.max(1.0))).min(self.cap());
+            let slots = f64::from(self.bounds.slots);
+            let replies = if self.limit < slots { STEP } else { 1.0 };
+            self.limit = (self.limit + 1.0 / (replies * self.limit)).min(self.cap());
         }
     }
 
--- /dev/null
+++ b/crates/dispatch/tests/silence.rs
@@ -0,0 +1,87 @@
+//! Connections that go silent.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Bench, whole};
+use rattanmast_fakes::model;
+use rattanmast_model::{outcome::Outcome, rank::Rank};
+use tokio::time::{Instant, sleep};
+
+/// Guards against searches that are lost with the connections they were sent on, and against
+/// connections that are never replaced.
+#[tokio::test(start_paused = true)]
+async fn searches_survive_the_silence_of_all_connections() {
+    let bench = Bench::new(2, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    bench
+        .load(&dispatcher, Rank::Routine, 300.0, Duration::from_secs(1))
+        .await;
+    bench.leaf(0).silence();
+    bench.leaf(1).silence();
+    let reply = dispatcher
+        .subquery(bench.subquery(Rank::Urgent, 2_000))
+        .await;
+    assert!(whole(&reply), "{:?}", reply.misses);
+    sleep(Duration::from_secs(1)).await;
+    let start = Instant::now();
+    let reply = dispatcher
+        .subquery(bench.subquery(Rank::Urgent, 2_000))
+        .await;
+    assert!(whole(&reply));
+    // A replaced connection answers like any other.
+    assert!(start.elapsed() < Duration::from_millis(50));
+    assert!(dispatcher.stats().silent > 0);
+}
+
+/// Guards against silent connections that stop counting before the leaf has closed them.
+#[tokio::test(start_paused = true)]
+async fn silent_connections_count_until_a_conservative_time_has_passed() {
+    let bench = Bench::new(1, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    bench.leaf(0).silence();
+    dispatcher
+        .subquery(bench.subquery(Rank::Urgent, 2_000))
+        .await;
+    sleep(Duration::from_secs(10)).await;
+    assert!(dispatcher.stats().open_connections >= dispatcher.stats().silent);
+    assert!(bench.leaf(0).counters().most_connections <= 4);
+    sleep(Duration::from_secs(30)).await;
+    assert!(whole(
+        &dispatcher.subquery(bench.subquery(Rank::Urgent, 200)).await
+    ));
+}
+
+/// Guards against a leaf that is slow as a whole being taken for silent connections.
+#[tokio::test(start_paused = true)]
+async fn a_slow_leaf_is_not_silent() {
+    let bench = Bench::new(1, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    bench
+        .load(&dispatcher, Rank::Routine, 200.0, Duration::from_secs(1))
+        .await;
+    let faults = model::Faults {
+        factor: 60.0,
+        ..Default::default()
+    };
+    bench.leaf(0).set_faults(faults);
+    bench
+        .load(&dispatcher, Rank::Routine, 20.0, Duration::from_secs(2))
+        .await;
+    assert_eq!(dispatcher.stats().silent, 0);
+}
+
+/// Guards against an order that is sent again because its connection went silent.
+#[tokio::test(start_paused = true)]
+async fn an_order_on_a_silent_connection_is_unknown() {
+    let bench = Bench::new(2, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    bench.leaf(0).silence();
+    bench.leaf(1).silence();
+    let outcome = dispatcher.order(bench.order("a")).await;
+    assert!(matches!(outcome, Outcome::Unknown { .. }), "{outcome:?}");
+    sleep(Duration::from_mins(1)).await;
+    assert!(bench.leaf(0).runs().is_empty() && bench.leaf(1).runs().is_empty());
+    assert_eq!(dispatcher.stats().sent, 1);
+}
