Add the measurement harness and its cases

Cause: no decision is supported by a measurement yet. Change: crate measure runs the policies and their plain baselines on the same seeds, in one process on the paused clock, and judges the targets of section 4.6.

--- /dev/null
+++ b/crates/measure/src/audit.rs
@@ -0,0 +1,99 @@
+//! Checks answers against the deterministic records.
+
+use rattanmast_fakes::records;
+use rattanmast_model::{
+    catalog::Snapshot,
+    hash::Map,
+    leaf::Row,
+    query::Answer,
+    range::{Range, SPACE, Set},
+};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// What was found wrong in answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Findings {
+    /// Answers that were checked.
+    pub checked: u64,
+    /// Answers with a row that the pinned snapshot does not have.
+    pub mixed: u64,
+    /// Answers that claim more coverage than the truth, or lack rows of what they claim.
+    pub overclaimed: u64,
+    /// Answers with less than the whole of the records.
+    pub partial: u64,
+}
+
+/// The records of one collection as they should be answered.
+#[derive(Debug)]
+pub struct Audit {
+    collection: SmolStr,
+    rows: Map<(Snapshot, SmolStr), Vec<Row>>,
+    totals: Map<Snapshot, u64>,
+    findings: Findings,
+}
+
+impl Audit {
+    /// Returns an audit of answers over `collection`.
+    pub fn new(collection: SmolStr) -> Self {
+        Self {
+            collection,
+            rows: Map::default(),
+            totals: Map::default(),
+            findings: Findings::default(),
+        }
+    }
+
+    /// Returns what was found so far.
+    pub const fn findings(&self) -> Findings {
+        self.findings
+    }
+
+    /// Checks the answer to a query for `text`.
+    pub fn check(&mut self, text: &SmolStr, answer: &Answer) {
+        let covered = covered(&answer.missing);
+        let total = self.total(answer.snapshot);
+        let within = |r: &Range| records::count(&self.collection, answer.snapshot, *r);
+        let searched = if answer.missing.is_empty() {
+            total
+        } else {
+            covered.ranges().iter().map(within).sum()
+        };
+        let truth = searched as f64 / total.max(1) as f64;
+        let expected = self.expected(answer.snapshot, text);
+        let found = |row: &Row| answer.rows.binary_search(row).is_ok();
+        let inside = |row: &&Row| covered.covers(Range::new(row.key, row.key + 1));
+        let lacking = expected.iter().filter(inside).any(|row| !found(row));
+        let foreign = |row: &Row| expected.binary_search(row).is_err();
+        let mixed = answer.rows.iter().any(foreign);
+        let overclaimed = answer.coverage > truth || answer.records > searched || lacking;
+        self.findings.checked += 1;
+        self.findings.mixed += u64::from(mixed);
+        self.findings.overclaimed += u64::from(overclaimed);
+        self.findings.partial += u64::from(!answer.missing.is_empty());
+    }
+
+    fn total(&mut self, snapshot: Snapshot) -> u64 {
+        let collection = &self.collection;
+        let total = self.totals.entry(snapshot);
+        *total.or_insert_with(|| records::count(collection, snapshot, SPACE))
+    }
+
+    fn expected(&mut self, snapshot: Snapshot, text: &SmolStr) -> &[Row] {
+        let collection = &self.collection;
+        let rows = self.rows.entry((snapshot, text.clone()));
+        rows.or_insert_with(|| {
+            let mut rows = records::rows(collection, snapshot, SPACE, text);
+            rows.sort_unstable();
+            rows
+        })
+    }
+}
+
+fn covered(missing: &[Range]) -> Set {
+    let mut covered = Set::of([SPACE]);
+    for range in missing {
+        covered.remove(*range);
+    }
+    covered
+}
--- /dev/null
+++ b/crates/measure/src/cases.rs
@@ -0,0 +1,298 @@
+//! The cases of the design's section 4.6, with targets stated before the first run.
+
+use std::time::Duration;
+
+use rattanmast_model::{config::Floors, rank::Rank};
+
+use crate::{
+    case::{Aim, Case, Fold, Target, Variant},
+    policy::Kind,
+    recovery,
+    run::Run,
+    scenario::{Event, Scenario},
+    tally::Row,
+};
+
+const URGENT: usize = Rank::Urgent.index();
+const ROUTINE: usize = Rank::Routine.index();
+const INTAKE: usize = Rank::Intake.index();
+
+/// Returns all cases that run on the paused clock.
+pub fn all() -> Vec<Case> {
+    vec![
+        stragglers(),
+        intake_flood(),
+        urgent_flood(),
+        lost_replicas(),
+        repartition(),
+        dispatch(),
+        load(),
+        host_killed(),
+    ]
+}
+
+const fn variant(label: &'static str, kind: Kind, scenario: Scenario) -> Variant {
+    Variant {
+        label,
+        kind,
+        scenario,
+    }
+}
+
+const fn target(text: &'static str, aim: Aim, figure: fn(&[Run]) -> f64) -> Target {
+    Target {
+        text,
+        aim,
+        fold: Fold::Median,
+        figure,
+    }
+}
+
+/// Returns the policy and the baseline under `scenario`.
+fn both(label: &'static str, scenario: &Scenario) -> [Variant; 2] {
+    [Kind::Policy, Kind::Baseline].map(|kind| variant(label, kind, scenario.clone()))
+}
+
+fn whole(runs: &[Run], index: usize, figure: fn(&Row) -> f64) -> f64 {
+    runs[index].rows.iter().map(figure).sum()
+}
+
+fn stragglers() -> Case {
+    let calm = Scenario::new(0.7);
+    let slow = Scenario {
+        slow_share: 0.02,
+        ..calm.clone()
+    };
+    Case {
+        name: "stragglers",
+        about: "70% load, 2% of leaf replies 10 times slower",
+        variants: [both("stragglers", &slow), both("no stragglers", &calm)].concat(),
+        targets: vec![
+            target(
+                "urgent p99 over the baseline's: at most 1/3",
+                Aim::AtMost(1.0 / 3.0),
+                |r| r[0].rows[URGENT].p99_ms / r[1].rows[URGENT].p99_ms,
+            ),
+            target(
+                "urgent p99 over the p99 with no stragglers: at most 1.5",
+                Aim::AtMost(1.5),
+                |r| r[0].rows[URGENT].p99_ms / r[2].rows[URGENT].p99_ms,
+            ),
+            target(
+                "extra requests to leafs, all ranks: at most 5%",
+                Aim::AtMost(0.05),
+                |r| r[0].extra,
+            ),
+        ],
+    }
+}
+
+fn intake_flood() -> Case {
+    let calm = Scenario::new(0.6);
+    let flood = Scenario {
+        flood: Some((Rank::Intake, 10.0)),
+        ..calm.clone()
+    };
+    Case {
+        name: "intake-flood",
+        about: "60% load, and intake at 10 times the capacity on top",
+        variants: [both("flood", &flood), both("no flood", &calm)].concat(),
+        targets: vec![
+            target(
+                "urgent p99 over that without the flood: at most 1.2",
+                Aim::AtMost(1.2),
+                |r| r[0].rows[URGENT].p99_ms / r[2].rows[URGENT].p99_ms,
+            ),
+            target(
+                "routine's goodput over that without the flood: at least 90%",
+                Aim::AtLeast(0.9),
+                |r| r[0].rows[ROUTINE].goodput / r[2].rows[ROUTINE].goodput,
+            ),
+        ],
+    }
+}
+
+/// Runs of `urgent-flood` from this index on measure the peak.
+const PEAK: usize = 2;
+
+fn urgent_flood() -> Case {
+    // Routine and intake are offered more than their floors, so that a floor can show.
+    let flood = Scenario {
+        load: [0.1, 0.3, 0.1],
+        flood: Some((Rank::Urgent, 5.0)),
+        ..Scenario::new(0.0)
+    };
+    let peak = |load| variant("peak", Kind::Policy, Scenario::new(load));
+    let mut variants = both("flood", &flood).to_vec();
+    variants.extend([0.7, 0.8, 0.9, 1.0, 1.2].map(peak));
+    Case {
+        name: "urgent-flood",
+        about: "routine 30%, intake 10%, urgent at 5.1 times the capacity",
+        variants,
+        targets: vec![
+            target(
+                "routine's share of slot time: at least its floor",
+                Aim::AtLeast(floors().routine),
+                |r| r[0].rows[ROUTINE].slots,
+            ),
+            target(
+                "intake's share of slot time: at least its floor",
+                Aim::AtLeast(floors().intake),
+                |r| r[0].rows[INTAKE].slots,
+            ),
+            target(
+                "goodput over the fleet's peak: at least 90%",
+                Aim::AtLeast(0.9),
+                |r| {
+                    let peaks = (PEAK..r.len()).map(|i| whole(r, i, |row| row.goodput));
+                    whole(r, 0, |row| row.goodput) / peaks.fold(0.0, f64::max)
+                },
+            ),
+            target(
+                "longest time until a refusal over the deadline: at most 10%",
+                Aim::AtMost(0.1),
+                |r| {
+                    let worst = r[0].rows.iter().map(|row| row.refusal_worst);
+                    worst.fold(0.0, f64::max)
+                },
+            ),
+        ],
+    }
+}
+
+/// Returns the floors of the default configuration.
+const fn floors() -> Floors {
+    Floors {
+        urgent: 0.5,
+        routine: 0.2,
+        intake: 0.05,
+    }
+}
+
+fn lost_replicas() -> Case {
+    // The shards that lose a replica have half of their slots, so 40% loads them at 80%.
+    let scenario = Scenario {
+        event: Some(Event::Losses),
+        ..Scenario::new(0.4)
+    };
+    let most = Scenario {
+        event: Some(Event::Losses),
+        ..Scenario::new(0.7)
+    };
+    Case {
+        name: "lost-replicas",
+        about: "one replica of every tenth shard lost at the begin, platform's list unchanged",
+        variants: [
+            both("40% load", &scenario),
+            both("70% load, 140% on those shards", &most),
+        ]
+        .concat(),
+        targets: vec![target(
+            "coverage 1.0 in time at 40% load, all ranks: at least 99.9%",
+            Aim::AtLeast(0.999),
+            |r| r[0].complete,
+        )],
+    }
+}
+
+fn repartition() -> Case {
+    let scenario = Scenario {
+        event: Some(Event::Repartition),
+        length: Duration::from_secs(40),
+        ..Scenario::new(0.6)
+    };
+    let sum = |text, aim, figure| Target {
+        fold: Fold::Sum,
+        ..target(text, aim, figure)
+    };
+    Case {
+        name: "repartition",
+        about: "60% load; data moves and the snapshot changes every second",
+        variants: both("repartition", &scenario).to_vec(),
+        targets: vec![
+            sum("answers with mixed versions: none", Aim::AtMost(0.0), |r| {
+                r[0].findings.mixed as f64
+            }),
+            sum(
+                "answers with overclaimed coverage: none",
+                Aim::AtMost(0.0),
+                |r| r[0].findings.overclaimed as f64,
+            ),
+            sum(
+                "answers checked: at least 100,000",
+                Aim::AtLeast(100_000.0),
+                |r| r[0].findings.checked as f64,
+            ),
+        ],
+    }
+}
+
+fn dispatch() -> Case {
+    let pair = |label, load| {
+        [Kind::Policy, Kind::Everyone].map(|kind| variant(label, kind, Scenario::new(load)))
+    };
+    Case {
+        name: "dispatch",
+        about: "one dispatcher per service against every host calling every leaf",
+        variants: [pair("70% load", 0.7), pair("120% load", 1.2)].concat(),
+        targets: vec![
+            target(
+                "urgent p99 over the alternative's at 70% load: at most 1",
+                Aim::AtMost(1.0),
+                |r| r[0].rows[URGENT].p99_ms / r[1].rows[URGENT].p99_ms,
+            ),
+            target(
+                "urgent p99 over the alternative's at 120% load: at most 1",
+                Aim::AtMost(1.0),
+                |r| r[2].rows[URGENT].p99_ms / r[3].rows[URGENT].p99_ms,
+            ),
+            target(
+                "goodput over the alternative's at 120% load: at least 1",
+                Aim::AtLeast(1.0),
+                |r| whole(r, 2, |row| row.goodput) / whole(r, 3, |row| row.goodput),
+            ),
+        ],
+    }
+}
+
+fn load() -> Case {
+    let loads = [0.3, 0.5, 0.7, 0.8, 0.9, 1.0, 1.2, 1.5, 2.0];
+    let pair = |load| {
+        let mut scenario = Scenario::new(load);
+        scenario.length = Duration::from_secs(10);
+        both("load", &scenario)
+    };
+    Case {
+        name: "load",
+        about: "latency and goodput by load, for the plot; no target",
+        variants: loads.map(pair).concat(),
+        targets: Vec::new(),
+    }
+}
+
+fn host_killed() -> Case {
+    let scenario = Scenario {
+        // More urgent queries than usual, so that a p99 of 5 s holds about 950 of them.
+        load: [0.2, 0.2, 0.1],
+        event: Some(Event::Kill),
+        warm: Duration::from_secs(15),
+        ..Scenario::new(0.0)
+    };
+    Case {
+        name: "host-killed",
+        about: "50% load, one of 9 hosts falls silent",
+        variants: both("host killed", &scenario).to_vec(),
+        targets: vec![
+            target(
+                "seconds until its share is served again: at most 2",
+                Aim::AtMost(2.0),
+                |r| recovery::served(&r[0].samples),
+            ),
+            target(
+                "seconds until urgent p99 is back to normal: at most 5",
+                Aim::AtMost(5.0),
+                |r| recovery::normal(&r[0].samples, &r[0].before),
+            ),
+        ],
+    }
+}
--- /dev/null
+++ b/crates/measure/src/cli.rs
@@ -0,0 +1,91 @@
+//! The options of the measurements as the user types them.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use rattanmast_measure::config::{Config, Error, Result, bounded};
+
+/// Runs the policies and their plain baselines side by side on the same seeds
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options("rattanmast-measure"), version)]
+pub struct Options {
+    /// Name the cases and end
+    #[bpaf(long)]
+    pub list: bool,
+    /// Case to run
+    #[bpaf(long, env("RATTANMAST_MEASURE_CASE"), argument("NAME"))]
+    pub case: Option<String>,
+    /// Number of seeds
+    #[bpaf(
+        long,
+        env("RATTANMAST_MEASURE_SEEDS"),
+        argument("N"),
+        fallback(5),
+        display_fallback
+    )]
+    pub seeds: u64,
+    /// First seed
+    #[bpaf(
+        long,
+        env("RATTANMAST_MEASURE_SEED"),
+        argument("N"),
+        fallback(1),
+        display_fallback
+    )]
+    pub seed: u64,
+    /// Measured time of each run in seconds; the case's own if left out
+    #[bpaf(long, env("RATTANMAST_MEASURE_LENGTH"), argument("SECONDS"))]
+    pub length: Option<u64>,
+    /// Regions that the failure domains are spread over
+    #[bpaf(
+        long,
+        env("RATTANMAST_MEASURE_REGIONS"),
+        argument("N"),
+        fallback(1),
+        display_fallback
+    )]
+    pub regions: u64,
+    /// Threads that runs are spread over
+    #[bpaf(
+        long,
+        env("RATTANMAST_MEASURE_THREADS"),
+        argument("N"),
+        fallback(4),
+        display_fallback
+    )]
+    pub threads: u64,
+    /// Run the baseline in place of the policy, to see that targets can be missed
+    #[bpaf(long, env("RATTANMAST_MEASURE_SWAP"))]
+    pub swap: bool,
+    /// Print JSON in place of a table
+    #[bpaf(long, env("RATTANMAST_MEASURE_JSON"))]
+    pub json: bool,
+    /// Plot latency and goodput by load into an SVG file
+    #[bpaf(long, env("RATTANMAST_MEASURE_PLOT"), argument("FILE.svg"))]
+    pub plot: Option<PathBuf>,
+}
+
+impl Options {
+    /// Returns the validated settings.
+    ///
+    /// # Errors
+    ///
+    /// If no case is named or a number is out of its bounds.
+    pub fn config(self) -> Result<Config> {
+        let count = bounded("--seeds", self.seeds, 1, 1_000)?;
+        let regions = bounded("--regions", self.regions, 1, 3)?;
+        let threads = bounded("--threads", self.threads, 1, 64)?;
+        let length = self.length.map(|l| bounded("--length", l, 1, 86_400));
+        let small = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+        Ok(Config {
+            case: self.case.ok_or(Error::NoCase)?,
+            seeds: (self.seed..).take(small(count)).collect(),
+            length: length.transpose()?,
+            regions: small(regions),
+            threads: small(threads),
+            swap: self.swap,
+            json: self.json,
+            plot: self.plot,
+        })
+    }
+}
--- /dev/null
+++ b/crates/measure/src/cost.rs
@@ -0,0 +1,254 @@
+//! What the decisions cost a host in CPU time and allocations.
+//!
+//! Runs on the real clock, with leafs that answer at once and messages that
+//! take no time. Neither sockets nor the encoding of messages are included.
+
+use std::{fmt::Write as _, fs, sync::Arc, time::Duration};
+
+use rattanmast_dispatch::Dispatcher;
+use rattanmast_fakes::data::Data;
+use rattanmast_gather::{Gatherer, Settings};
+use rattanmast_model::{
+    catalog::Catalog,
+    hash::Map,
+    host::Incarnation,
+    leaf::{Connector, Done, Error, Found, Leaf, Link, Load, Order, Part, Result, Search},
+    preset::Preset,
+    query::Query,
+    rank::Rank,
+    request,
+};
+use serde::Serialize;
+use smol_str::SmolStr;
+use snafu::{ResultExt, Snafu};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region};
+use tokio::task::JoinSet;
+
+use crate::{
+    peers::{self, Memory},
+    policy::{Kind, Plain, Present, System},
+};
+
+/// The name of the case.
+pub const NAME: &str = "cost";
+
+/// What the case shows.
+pub const ABOUT: &str = "CPU time and allocations of a host per leaf request, on the real clock";
+
+/// Leaf requests a second of a host in two years, from the design's section 2.3.
+const TWO_YEARS: f64 = 70_000.0;
+
+/// Queries in hand at a time, over all hosts; few enough for the leafs' slots.
+const IN_HAND: usize = 2;
+
+/// Queries before anything is measured, and those that are measured.
+const QUERIES: [u64; 2] = [2_000, 20_000];
+
+/// Why the cost could not be measured.
+#[derive(Debug, Snafu)]
+pub enum Failure {
+    /// The thread's CPU time could not be read.
+    #[snafu(display("cannot read {CPU} ({source}); run on Linux with /proc mounted"))]
+    Cpu {
+        /// What the system returned.
+        source: std::io::Error,
+    },
+}
+
+/// The time that the thread has run, in nanoseconds, is the first number of this file.
+const CPU: &str = "/proc/thread-self/schedstat";
+
+/// The cost of one set of policies.
+#[derive(Clone, Debug, Serialize)]
+pub struct Cost {
+    /// The policies.
+    pub policies: &'static str,
+    /// Leaf requests that were measured.
+    pub requests: u64,
+    /// The share of queries that were answered completely.
+    pub complete: f64,
+    /// CPU time of a leaf request, in microseconds.
+    pub cpu_us: f64,
+    /// Allocations of a leaf request, reallocations included.
+    pub allocations: f64,
+    /// Bytes allocated for a leaf request.
+    pub bytes: f64,
+    /// Cores that a host needs for [`TWO_YEARS`] leaf requests a second.
+    pub cores: f64,
+}
+
+/// Measures the policy and the baseline on the current thread.
+///
+/// # Errors
+///
+/// [`Failure::Cpu`] if the CPU time cannot be read.
+///
+/// # Panics
+///
+/// If the runtime cannot be made.
+pub fn measure() -> std::result::Result<Vec<Cost>, Failure> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().build();
+    let runtime = runtime.expect("a runtime without I/O needs no system resource");
+    runtime.block_on(async {
+        Ok(vec![
+            cost::<Present>(Kind::Policy).await?,
+            cost::<Plain>(Kind::Baseline).await?,
+        ])
+    })
+}
+
+/// Returns `costs` as a table.
+pub fn text(costs: &[Cost]) -> String {
+    let mut text = format!("{NAME}: {ABOUT}; no target\n");
+    for cost in costs {
+        let _infallible = writeln!(
+            text,
+            "{:9} {} leaf requests, {:.2}% of queries complete: {:.2} us CPU, {:.1} allocations, \
+             {:.0} bytes each; {:.2} cores at {TWO_YEARS} a second",
+            cost.policies,
+            cost.requests,
+            cost.complete * 100.0,
+            cost.cpu_us,
+            cost.allocations,
+            cost.bytes,
+            cost.cores,
+        );
+    }
+    text
+}
+
+async fn cost<S: System>(kind: Kind) -> std::result::Result<Cost, Failure> {
+    let data = Data::new(Preset::norway());
+    let roots = roots::<S>(&data);
+    let config = data.config();
+    let search = config.search(data.preset.searched);
+    let search = search.expect("the configuration has a search of each collection");
+    let query = Query {
+        search: search.clone(),
+        text: SmolStr::new_static("text"),
+        rank: Rank::Urgent,
+        timeout: Duration::from_secs(2),
+        trace: None,
+    };
+    ask::<S>(&roots, &query, QUERIES[0]).await;
+    let (cpu, region) = (cpu_ns()?, Region::new(&INSTRUMENTED_SYSTEM));
+    let (requests, complete) = ask::<S>(&roots, &query, QUERIES[1]).await;
+    let (cpu, change) = (cpu_ns()? - cpu, region.change());
+    let each = |n: f64| n / requests.max(1) as f64;
+    let cpu_us = each(cpu as f64 / 1_000.0);
+    Ok(Cost {
+        policies: kind.name(),
+        requests,
+        complete: complete as f64 / QUERIES[1] as f64,
+        cpu_us,
+        allocations: each((change.allocations + change.reallocations) as f64),
+        bytes: each(change.bytes_allocated as f64),
+        cores: cpu_us * TWO_YEARS / 1_000_000.0,
+    })
+}
+
+/// Returns the CPU time of this thread in nanoseconds.
+fn cpu_ns() -> std::result::Result<u64, Failure> {
+    let text = fs::read_to_string(CPU).context(CpuSnafu)?;
+    let first = text.split_ascii_whitespace().next();
+    Ok(first.and_then(|n| n.parse().ok()).unwrap_or_default())
+}
+
+type Root<S> = Gatherer<Memory, <S as System>::Gather>;
+
+fn roots<S: System>(data: &Data) -> Vec<Root<S>> {
+    let run = Incarnation(1);
+    let (peers, inboxes) = peers::connect(&data.hosts, None, run, 1);
+    let config = Arc::new(data.config());
+    let leafs = Arc::new(data.leafs.clone());
+    let entry = |c: &Catalog| (c.collection.clone(), Arc::new(c.clone()));
+    let catalogs: Map<_, _> = data.catalogs.iter().map(entry).collect();
+    let catalogs = Arc::new(catalogs);
+    let hosts = data.hosts.iter().zip(peers).zip(inboxes);
+    let root = |((host, peers), inbox): ((&rattanmast_model::host::Host, _), peers::Inbox)| {
+        let name = host.name.clone();
+        let dispatcher = Dispatcher::with_policy(name.clone(), run, Instantly, S::dispatch(), 1);
+        dispatcher.apply(Arc::clone(&config), Arc::clone(&leafs));
+        tokio::spawn(inbox.serve::<S, _>(dispatcher));
+        let settings = Settings::default();
+        let policy = S::gather(&name, &settings, 1);
+        let root = Gatherer::with(name, run, peers, settings, 1, policy);
+        root.apply(
+            Arc::clone(&config),
+            Arc::clone(&catalogs),
+            Arc::clone(&leafs),
+        );
+        root
+    };
+    hosts.map(root).collect()
+}
+
+/// Runs `count` queries; returns the leaf requests sent and the complete answers.
+async fn ask<S: System>(roots: &[Root<S>], query: &Query, count: u64) -> (u64, u64) {
+    let (mut requests, mut complete) = (0, 0);
+    let mut open = JoinSet::new();
+    let mut roots = roots
+        .iter()
+        .cycle()
+        .take(usize::try_from(count).unwrap_or(0));
+    loop {
+        while open.len() < IN_HAND
+            && let Some(root) = roots.next()
+        {
+            let (root, query) = (root.clone(), query.clone());
+            open.spawn(async move { root.query(query).await });
+        }
+        match open.join_next().await {
+            Some(Ok(Ok(answer))) => {
+                requests += u64::from(answer.sent);
+                complete += u64::from(answer.coverage >= 1.0);
+            }
+            Some(_) => {}
+            None => return (requests, complete),
+        }
+    }
+}
+
+/// Connects to leafs that answer at once.
+#[derive(Clone, Copy, Debug)]
+struct Instantly;
+
+impl Connector for Instantly {
+    type Link = Self;
+
+    async fn open(&self, _: &Leaf) -> Result<Self> {
+        Ok(Self)
+    }
+}
+
+impl Link for Instantly {
+    async fn search(&mut self, search: &Search) -> Result<Found> {
+        // The reply of a real leaf never is there at once.
+        tokio::task::yield_now().await;
+        let part = |range| Part {
+            range,
+            records: 1,
+            rows: Vec::new(),
+        };
+        Ok(Found {
+            id: search.id,
+            snapshot: search.snapshot,
+            parts: search.ranges.iter().copied().map(part).collect(),
+            load: Load::default(),
+        })
+    }
+
+    async fn order(&mut self, _: &Order) -> Result<Done> {
+        let why = SmolStr::new_static("no orders");
+        Err(Error::Failed { why })
+    }
+
+    async fn cancel(&mut self, _: request::Id) -> Result<()> {
+        Ok(())
+    }
+
+    async fn close(self, _: Duration) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/crates/measure/src/policy.rs
@@ -0,0 +1,105 @@
+//! The sets of policies that are compared.
+
+use rattanmast_dispatch as dispatch;
+use rattanmast_gather::{
+    Settings, admit,
+    policy::{Bundle, Policy, Standard},
+    retry, route,
+};
+use rattanmast_model::host;
+use serde::Serialize;
+
+/// The policies of all hosts in one run.
+pub trait System: 'static {
+    /// The rules of a dispatcher.
+    type Dispatch: dispatch::policy::Policy;
+    /// The rules of a root.
+    type Gather: Policy;
+
+    /// Returns the rules of the root on host `me`.
+    fn gather(me: &host::Name, settings: &Settings, seed: u64) -> Self::Gather;
+
+    /// Returns the settings of the dispatchers.
+    fn dispatch() -> dispatch::Settings {
+        dispatch::Settings::default()
+    }
+}
+
+/// Names one set of policies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// The policies in use.
+    Policy,
+    /// The plain baselines of all decisions.
+    Baseline,
+    /// The policies in use, but every host calls every leaf itself.
+    Everyone,
+}
+
+impl Kind {
+    /// Returns the name used in tables.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Policy => "policy",
+            Self::Baseline => "baseline",
+            Self::Everyone => "every host calls every leaf",
+        }
+    }
+}
+
+/// See [`Kind::Policy`].
+#[derive(Debug)]
+pub struct Present;
+
+impl System for Present {
+    type Dispatch = dispatch::policy::Adaptive;
+    type Gather = Standard;
+
+    fn gather(_: &host::Name, settings: &Settings, seed: u64) -> Standard {
+        Standard::new(settings, seed)
+    }
+}
+
+/// See [`Kind::Baseline`].
+///
+/// Services keep their one dispatcher, so that only the decisions differ.
+#[derive(Debug)]
+pub struct Plain;
+
+impl System for Plain {
+    type Dispatch = dispatch::policy::Plain;
+    type Gather = Bundle<admit::Open, retry::Unlimited, route::Candidates>;
+
+    fn gather(_: &host::Name, _: &Settings, _: u64) -> Self::Gather {
+        Bundle {
+            admission: admit::Open,
+            budget: retry::Unlimited,
+            router: route::Candidates,
+        }
+    }
+}
+
+/// See [`Kind::Everyone`].
+#[derive(Debug)]
+pub struct Everyone;
+
+impl System for Everyone {
+    type Dispatch = dispatch::policy::Adaptive;
+    type Gather = Bundle<admit::Waits, retry::Share, route::Itself>;
+
+    fn gather(me: &host::Name, settings: &Settings, seed: u64) -> Self::Gather {
+        Bundle {
+            admission: admit::Waits::new(settings, seed),
+            budget: retry::Share::new(settings.retry_share, settings.retry_burst),
+            router: route::Itself(me.clone()),
+        }
+    }
+
+    fn dispatch() -> dispatch::Settings {
+        dispatch::Settings {
+            everyone: true,
+            ..dispatch::Settings::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/recovery.rs
@@ -0,0 +1,68 @@
+//! How long the fleet takes to recover from the loss of a host.
+
+use std::time::Duration;
+
+use rattanmast_model::rank::Rank;
+
+use crate::tally::Sample;
+
+/// The width of the windows in which complete answers are counted.
+const STEP: Duration = Duration::from_millis(100);
+
+/// The share of complete answers at which a share is served.
+const SERVED: f64 = 0.99;
+
+/// The length over which a percentile is taken; shorter ones hold too few urgent queries.
+const SPAN: Duration = Duration::from_secs(5);
+
+/// The factor on the percentile before the loss up to which it is normal.
+const NORMAL: f64 = 1.2;
+
+/// Returns the seconds after which every window has [`SERVED`] complete answers.
+///
+/// It is infinite if the last window has not.
+pub fn served(samples: &[Sample]) -> f64 {
+    let window = |s: &Sample| (s.at.as_micros() / STEP.as_micros()) as usize;
+    let Some(last) = samples.iter().map(window).max() else {
+        return f64::NAN;
+    };
+    let mut counts = vec![(0_u32, 0_u32); last + 1];
+    for sample in samples {
+        let (all, complete) = &mut counts[window(sample)];
+        *all += 1;
+        *complete += u32::from(sample.complete);
+    }
+    let bad = |(all, complete): &(u32, u32)| f64::from(*complete) < SERVED * f64::from(*all);
+    match counts.iter().rposition(bad) {
+        Some(index) if index == last => f64::INFINITY,
+        Some(index) => (index + 1) as f64 * STEP.as_secs_f64(),
+        None => 0.0,
+    }
+}
+
+/// Returns the seconds until the urgent p99 over the next [`SPAN`] is normal.
+///
+/// `before` are the samples before the loss. It is infinite if that never happens.
+pub fn normal(samples: &[Sample], before: &[Sample]) -> f64 {
+    let Some(usual) = p99(before.iter()) else {
+        return f64::NAN;
+    };
+    let longest = samples.iter().map(|s| s.at).max().unwrap_or_default();
+    let steps = longest.saturating_sub(SPAN).as_micros() / STEP.as_micros();
+    let starts = (0..=u32::try_from(steps).unwrap_or(u32::MAX)).map(|i| STEP * i);
+    let good = |start: &Duration| {
+        let within = |s: &&Sample| s.at >= *start && s.at < *start + SPAN;
+        let p99 = p99(samples.iter().filter(within));
+        p99.is_some_and(|p| p.as_secs_f64() <= NORMAL * usual.as_secs_f64())
+    };
+    let found = starts.into_iter().find(good);
+    found.map_or(f64::INFINITY, |start| start.as_secs_f64())
+}
+
+fn p99<'a>(samples: impl Iterator<Item = &'a Sample>) -> Option<Duration> {
+    let urgent = samples.filter(|s| s.rank == Rank::Urgent);
+    let mut took: Vec<_> = urgent.map(|s| s.took).collect();
+    took.sort_unstable();
+    let index = (took.len() * 99).div_ceil(100).checked_sub(1)?;
+    took.get(index).copied()
+}
--- /dev/null
+++ b/crates/measure/src/run.rs
@@ -0,0 +1,237 @@
+//! One run: arrivals, answers, figures.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_fakes::records;
+use rattanmast_model::{
+    hash,
+    query::{Answer, Query},
+    rank::Rank,
+};
+use serde::Serialize;
+use smol_str::SmolStr;
+use tokio::time::{Instant, sleep_until};
+
+use crate::{
+    audit::{Audit, Findings},
+    meter::Counts,
+    policy::{Everyone, Kind, Plain, Present, System},
+    scenario::{self, Event, Scenario},
+    tally::{Row, Sample, Scale, Tally},
+    world::World,
+};
+
+/// The figures of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Run {
+    /// The figures by rank.
+    pub rows: [Row; 3],
+    /// Requests sent to leafs over those needed, less 1, over all ranks.
+    pub extra: f64,
+    /// The share of the queries not refused that have coverage 1.0 in time.
+    pub complete: f64,
+    /// What the audit of the answers found.
+    pub findings: Findings,
+    /// Queries a second that the slots can serve.
+    pub capacity: f64,
+    /// The queries, for figures over time.
+    #[serde(skip)]
+    pub samples: Vec<Sample>,
+    /// Queries of the last two thirds of the time before, where a host is lost.
+    #[serde(skip)]
+    pub before: Vec<Sample>,
+}
+
+/// Runs `scenario` under the policies of `kind`, on a paused clock of its own.
+///
+/// # Panics
+///
+/// If the runtime cannot be made.
+pub fn run(scenario: &Scenario, kind: Kind, seed: u64) -> Run {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build();
+    let runtime = runtime.expect("a runtime without I/O needs no system resource");
+    runtime.block_on(async {
+        match kind {
+            Kind::Policy => simulate::<Present>(scenario, seed).await,
+            Kind::Baseline => simulate::<Plain>(scenario, seed).await,
+            Kind::Everyone => simulate::<Everyone>(scenario, seed).await,
+        }
+    })
+}
+
+/// What the tasks of a run share.
+struct Shared<S: System> {
+    roots: Vec<Root<S>>,
+    search: rattanmast_model::config::Search,
+    scenario: Scenario,
+    services: u64,
+    begin: Instant,
+    tally: Mutex<Tally>,
+    before: Mutex<Vec<Sample>>,
+    audit: Option<Mutex<Audit>>,
+}
+
+/// One root and the host's connection to the others.
+type Root<S> = (
+    rattanmast_gather::Gatherer<crate::peers::Memory, <S as System>::Gather>,
+    crate::peers::Memory,
+);
+
+async fn simulate<S: System>(scenario: &Scenario, seed: u64) -> Run {
+    let mut world = World::<S>::new(scenario, seed);
+    let collection = world.collection().clone();
+    let capacity = scenario::capacity(collection.limits, collection.leafs, &world.leaf);
+    let audited = matches!(scenario.event, Some(Event::Repartition | Event::Forge));
+    let shared = Arc::new(Shared::<S> {
+        roots: world
+            .hosts
+            .iter()
+            .map(|h| (h.root.clone(), h.peers.clone()))
+            .collect(),
+        search: world.search(),
+        scenario: scenario.clone(),
+        services: collection.services.into(),
+        begin: Instant::now() + scenario.warm,
+        tally: Mutex::default(),
+        before: Mutex::default(),
+        audit: audited.then(|| Mutex::new(Audit::new(collection.name.clone()))),
+    });
+    let end = shared.begin + scenario.length;
+    for rank in Rank::ALL {
+        let rate = scenario.load[rank.index()] * capacity;
+        let stream = hash::stable([rank.name().as_bytes(), &seed.to_le_bytes()]);
+        let start = shared.begin - scenario.warm;
+        tokio::spawn(Arc::clone(&shared).arrive(rank, rate, start, end, stream));
+    }
+    if let Some((rank, load)) = scenario.flood {
+        let stream = hash::stable([b"flood".as_slice(), &seed.to_le_bytes()]);
+        let begin = shared.begin;
+        tokio::spawn(Arc::clone(&shared).arrive(rank, load * capacity, begin, end, stream));
+    }
+    let meter = Arc::clone(&world.meter);
+    sleep_until(shared.begin).await;
+    let before = meter.read();
+    if let Some(event) = scenario.event {
+        tokio::spawn(async move { world.make(event).await });
+    }
+    sleep_until(end).await;
+    let used = meter.read().since(before);
+    let longest = scenario.deadlines.iter().max().copied();
+    tokio::time::sleep(longest.unwrap_or_default() * 2).await;
+    shared.figures(used, capacity)
+}
+
+impl<S: System> Shared<S> {
+    /// Starts queries of `rank` at `rate` a second from `start` to `end`, as a Poisson process.
+    async fn arrive(
+        self: Arc<Self>,
+        rank: Rank,
+        rate: f64,
+        start: Instant,
+        end: Instant,
+        seed: u64,
+    ) {
+        if rate <= 0.0 {
+            return;
+        }
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut next = start;
+        loop {
+            let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
+            next += Duration::from_secs_f64(gap);
+            if next >= end {
+                return;
+            }
+            sleep_until(next).await;
+            let text = records::term(rng.random_range(0..records::TERMS));
+            let host = rng.random_range(0..self.roots.len());
+            tokio::spawn(Arc::clone(&self).query(rank, text, host));
+        }
+    }
+
+    /// Runs one query on the host at `index`, or on the next one that is not lost.
+    async fn query(self: Arc<Self>, rank: Rank, text: SmolStr, index: usize) {
+        let count = self.roots.len();
+        let hosts = (0..count).map(|i| &self.roots[(index + i) % count]);
+        let Some((root, peers)) = hosts.into_iter().find(|(_, p)| !p.is_lost()) else {
+            return;
+        };
+        let deadline = self.scenario.deadlines[rank.index()];
+        let query = Query {
+            search: self.search.clone(),
+            text: text.clone(),
+            rank,
+            timeout: deadline,
+            trace: None,
+        };
+        let start = Instant::now();
+        // The caller's connection breaks with the host; such a query is no answer of ours.
+        let result = tokio::select! {
+            biased;
+            () = peers.lost() => return,
+            result = root.query(query) => result,
+        };
+        let took = start.elapsed();
+        if start < self.begin {
+            self.keep(rank, start, took);
+            return;
+        }
+        if let (Some(audit), Ok(answer)) = (&self.audit, &result) {
+            let mut answer = answer.clone();
+            if self.scenario.event == Some(Event::Forge) {
+                forge(&mut answer);
+            }
+            let mut audit = audit.lock().expect("no holder panics");
+            audit.check(&text, &answer);
+        }
+        let at = start - self.begin;
+        let mut tally = self.tally.lock().expect("no holder panics");
+        tally.add(rank, at, took, deadline, self.services, &result);
+    }
+
+    /// Keeps a query of the time before a loss, but for the first third, which warms up.
+    fn keep(&self, rank: Rank, start: Instant, took: Duration) {
+        let early = self.begin - self.scenario.warm * 2 / 3;
+        if self.scenario.event == Some(Event::Kill) && start >= early {
+            self.before.lock().expect("no holder panics").push(Sample {
+                at: start - early,
+                took,
+                rank,
+                complete: true,
+            });
+        }
+    }
+
+    fn figures(&self, used: Counts, capacity: f64) -> Run {
+        let tally = self.tally.lock().expect("no holder panics");
+        let scale = Scale {
+            length: self.scenario.length,
+            capacity: capacity * self.services as f64,
+        };
+        let audit = self.audit.as_ref();
+        let findings = audit.map(|a| a.lock().expect("no holder panics").findings());
+        Run {
+            rows: tally.rows(scale, used.sent, used.replied),
+            extra: tally.extra(used.sent),
+            complete: tally.complete(),
+            findings: findings.unwrap_or_default(),
+            capacity,
+            samples: match self.scenario.event {
+                Some(Event::Kill) => tally.samples().to_vec(),
+                _ => Vec::new(),
+            },
+            before: std::mem::take(&mut self.before.lock().expect("no holder panics")),
+        }
+    }
+}
+
+/// Gives `answer` a row of the next snapshot and more records than there are.
+fn forge(answer: &mut Answer) {
+    answer.snapshot.0 += 1;
+    answer.records += 1_000_000;
+}
--- /dev/null
+++ b/crates/measure/src/table.rs
@@ -0,0 +1,170 @@
+//! Results as text and as JSON.
+
+use std::fmt::Write as _;
+
+use rattanmast_model::rank::Rank;
+use serde::Serialize;
+
+use crate::{
+    case::{Case, Verdict},
+    run::Run,
+    scenario::Scenario,
+    tally::Row,
+};
+
+/// The result of a case.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The case.
+    pub case: &'static str,
+    /// What it shows.
+    pub about: &'static str,
+    /// The seeds.
+    pub seeds: Vec<u64>,
+    /// Queries a second that the fleet's slots can serve.
+    pub capacity: f64,
+    /// Medians over the seeds.
+    pub variants: Vec<Figures>,
+    /// The targets.
+    pub verdicts: Vec<Verdict>,
+}
+
+/// The medians of one variant.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figures {
+    /// What tells the variant apart.
+    pub label: &'static str,
+    /// The policies.
+    pub policies: &'static str,
+    /// The offered load as a share of the capacity.
+    pub load: f64,
+    /// The same with the time of slow replies.
+    pub effective: f64,
+    /// The answers that an audit checked, over all seeds.
+    pub checked: u64,
+    /// The figures by rank, as `Rank::ALL`.
+    pub rows: [Row; 3],
+}
+
+impl Report {
+    /// Returns the result of `case` with `seeds`, whose runs are `runs`.
+    pub fn new(case: &Case, seeds: &[u64], runs: &[Vec<Run>]) -> Self {
+        let medians = case.medians(runs);
+        let figures = |(index, (variant, rows)): (usize, _)| {
+            let variant: &crate::case::Variant = variant;
+            let scenario: &Scenario = &variant.scenario;
+            Figures {
+                label: variant.label,
+                policies: variant.kind.name(),
+                load: scenario.total(),
+                effective: scenario.effective(),
+                checked: runs.iter().map(|s| s[index].findings.checked).sum(),
+                rows,
+            }
+        };
+        Self {
+            case: case.name,
+            about: case.about,
+            seeds: seeds.to_vec(),
+            capacity: runs.first().map_or(f64::NAN, |seed| seed[0].capacity),
+            variants: case
+                .variants
+                .iter()
+                .zip(medians)
+                .enumerate()
+                .map(figures)
+                .collect(),
+            verdicts: case.judge(runs),
+        }
+    }
+
+    /// Tells whether all targets are met.
+    pub fn met(&self) -> bool {
+        self.verdicts.iter().all(|v| v.met)
+    }
+
+    /// Returns the result as a table.
+    pub fn text(&self) -> String {
+        let mut text = format!(
+            "{}: {}\nmedians over {} seeds; capacity {:.0} queries a second\n",
+            self.case,
+            self.about,
+            self.seeds.len(),
+            self.capacity
+        );
+        for variant in &self.variants {
+            variant.write(&mut text);
+        }
+        for verdict in &self.verdicts {
+            let _infallible = writeln!(
+                text,
+                "{} {}; measured {:.3} ({:.3} to {:.3} by seed)",
+                if verdict.met { "met:   " } else { "MISSED:" },
+                verdict.target,
+                verdict.figure,
+                verdict.least,
+                verdict.most,
+            );
+        }
+        if self.verdicts.is_empty() {
+            text.push_str("no target\n");
+        }
+        text
+    }
+}
+
+impl Figures {
+    fn write(&self, text: &mut String) {
+        let _infallible = write!(
+            text,
+            "\n{}, {}: offered load {:.0}% of capacity",
+            self.label,
+            self.policies,
+            self.load * 100.0
+        );
+        if self.effective > self.load {
+            let _infallible = write!(text, " ({:.1}% with slow replies)", self.effective * 100.0);
+        }
+        if self.checked > 0 {
+            let _infallible = write!(text, "; {} answers checked", self.checked);
+        }
+        let _infallible = writeln!(
+            text,
+            "\n{:8} {:>9} {:>8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>9} {:>8} {:>8} {:>6} {:>9} {:>9}",
+            "rank",
+            "offered",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "complete",
+            "coverage",
+            "extra",
+            "refused",
+            "late",
+            "good/s",
+            "slots",
+            "told p99",
+            "told max",
+        );
+        for (rank, row) in Rank::ALL.into_iter().zip(&self.rows) {
+            let _infallible = writeln!(
+                text,
+                "{:8} {:>9.0} {:>8.1} {:>8.1} {:>8.1} {:>8.3}% {:>8.3}% {:>7.2}% {:>9.0} {:>8.0} {:>8.1} {:>5.1}% {:>8.2}% {:>8.2}%",
+                rank.name(),
+                row.offered,
+                row.p50_ms,
+                row.p99_ms,
+                row.p999_ms,
+                row.complete * 100.0,
+                row.coverage * 100.0,
+                row.extra * 100.0,
+                row.refused,
+                row.late,
+                row.goodput,
+                row.slots * 100.0,
+                row.refusal_p99 * 100.0,
+                row.refusal_worst * 100.0,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/world.rs
@@ -0,0 +1,212 @@
+//! The hosts and leafs of one run.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_dispatch::Dispatcher;
+use rattanmast_fakes::{
+    behavior,
+    clock::Wall,
+    data::Data,
+    fleet::{Connector, Fleet},
+};
+use rattanmast_gather::{Gatherer, Settings};
+use rattanmast_model::{
+    catalog::Catalog,
+    config::{Collection, Config, Search},
+    hash::{self, Map},
+    host::Incarnation,
+    preset::Preset,
+};
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use crate::{
+    meter::{Counted, Meter},
+    peers::{self, Memory},
+    policy::System,
+    scenario::{Event, Scenario},
+};
+
+/// The longest time until a host hears of a new catalog.
+const CATALOG_LAG_MS: u64 = 500;
+
+/// The time between two moves of data.
+const MOVE_EVERY: Duration = Duration::from_secs(1);
+
+/// One entry host.
+pub struct Host<S: System> {
+    /// Its root.
+    pub root: Gatherer<Memory, S::Gather>,
+    /// Its access to the other hosts.
+    pub peers: Memory,
+    dispatcher: Dispatcher<Counted<Connector>, S::Dispatch>,
+}
+
+/// All hosts and leafs.
+pub struct World<S: System> {
+    /// The hosts.
+    pub hosts: Vec<Host<S>>,
+    /// Counts requests to leafs.
+    pub meter: Arc<Meter>,
+    /// How leafs behave.
+    pub leaf: behavior::Settings,
+    fleet: Fleet,
+    data: Data,
+    config: Arc<Config>,
+    rng: SmallRng,
+}
+
+impl<S: System> World<S> {
+    /// Returns Norway's hosts and leafs, all in service.
+    pub fn new(scenario: &Scenario, seed: u64) -> Self {
+        let data = Data::new(Preset::norway());
+        let leaf = behavior::Settings::default();
+        let wall = Wall::simulated();
+        let fleet = Fleet::new(&data, leaf, wall, seed);
+        let faults = behavior::Faults {
+            slow_share: scenario.slow_share,
+            ..behavior::Faults::default()
+        };
+        for leaf in fleet.leafs() {
+            leaf.set_faults(faults);
+        }
+        let meter = Arc::new(Meter::default());
+        let run = Incarnation(wall.now_ns());
+        let (peers, inboxes) =
+            peers::connect(&data.hosts, Some(scenario.regions), run, hash::mix(seed));
+        let mut hosts = Vec::new();
+        for ((host, peers), inbox) in data.hosts.iter().zip(peers).zip(inboxes) {
+            let seed = hash::stable([host.name.as_bytes(), &seed.to_le_bytes()]);
+            let connector = fleet.connector(&host.name, &host.domain);
+            let connector = Counted::new(connector, Arc::clone(&meter));
+            let dispatcher =
+                Dispatcher::with_policy(host.name.clone(), run, connector, S::dispatch(), seed);
+            let settings = Settings::default();
+            let policy = S::gather(&host.name, &settings, seed);
+            let root = Gatherer::with(
+                host.name.clone(),
+                run,
+                peers.clone(),
+                settings,
+                seed,
+                policy,
+            );
+            tokio::spawn(inbox.serve::<S, _>(dispatcher.clone()));
+            hosts.push(Host {
+                root,
+                peers,
+                dispatcher,
+            });
+        }
+        let world = Self {
+            hosts,
+            meter,
+            leaf,
+            fleet,
+            config: Arc::new(data.config()),
+            data,
+            rng: SmallRng::seed_from_u64(hash::mix(seed ^ 1)),
+        };
+        let leafs = Arc::new(world.data.leafs.clone());
+        for host in &world.hosts {
+            let config = Arc::clone(&world.config);
+            host.dispatcher.apply(config, Arc::clone(&leafs));
+        }
+        world.spread(|_| Duration::ZERO);
+        world
+    }
+
+    /// Returns the collection that queries run over.
+    pub fn collection(&self) -> &Collection {
+        let name = self.data.preset.searched;
+        let found = self.config.collection(name);
+        found.expect("the preset's collection is in its configuration")
+    }
+
+    /// Returns the search that queries use.
+    pub fn search(&self) -> Search {
+        let found = self.config.search(self.data.preset.searched);
+        found
+            .expect("the configuration has a search of each collection")
+            .clone()
+    }
+
+    /// Makes `event` happen; returns at once if it is over at once.
+    pub async fn make(&mut self, event: Event) {
+        match event {
+            Event::Losses => self.lose_replicas(),
+            Event::Kill => self.kill(0),
+            Event::Repartition => loop {
+                self.repartition();
+                sleep(MOVE_EVERY).await;
+            },
+            Event::Forge => {}
+        }
+    }
+
+    /// Stops one replica of every tenth shard; the platform's list keeps it.
+    fn lose_replicas(&self) {
+        let searched = self.data.preset.searched;
+        let mine = |s: &&rattanmast_model::leaf::Leaf| s.service.collection == searched;
+        let leafs: Vec<_> = self.data.leafs.leafs.iter().filter(mine).collect();
+        let replicas = usize::from(self.collection().leafs);
+        for leaf in leafs.iter().step_by(10 * replicas) {
+            self.fleet.leaf(&leaf.name).stop();
+        }
+    }
+
+    /// Makes the host at `index` fall silent to hosts and leafs, as a lost machine does.
+    fn kill(&self, index: usize) {
+        let host = &self.data.hosts[index];
+        for leaf in &self.data.leafs.leafs {
+            self.fleet.cut(&host.name, &leaf.name, true);
+        }
+        self.hosts[index].peers.lose();
+    }
+
+    /// Moves, splits and merges data, and publishes the next snapshot.
+    fn repartition(&mut self) {
+        let name = self.data.preset.searched;
+        let services = self.collection().services;
+        let parts = self.data.newest(name).parts.len();
+        let index = self.rng.random_range(0..parts);
+        self.data.split(name, index);
+        let index = self.rng.random_range(0..parts);
+        let service = self.rng.random_range(0..services);
+        self.data.shift(name, index, service);
+        if parts > usize::from(services) {
+            let index = self.rng.random_range(0..parts - 1);
+            self.data.merge(name, index);
+        }
+        self.data.publish(name);
+        self.fleet.load(&self.data);
+        let mut rng = SmallRng::seed_from_u64(self.rng.random());
+        self.spread(|_| Duration::from_millis(rng.random_range(0..=CATALOG_LAG_MS)));
+    }
+
+    /// Gives the catalogs to each host, after the time that `lag` gives for it.
+    fn spread(&self, mut lag: impl FnMut(usize) -> Duration) {
+        let entry = |c: &Catalog| (c.collection.clone(), Arc::new(c.clone()));
+        let catalogs: Map<SmolStr, Arc<Catalog>> = self.data.catalogs.iter().map(entry).collect();
+        let catalogs = Arc::new(catalogs);
+        let leafs = Arc::new(self.data.leafs.clone());
+        for (index, host) in self.hosts.iter().enumerate() {
+            let root = host.root.clone();
+            let apply = (
+                Arc::clone(&self.config),
+                Arc::clone(&catalogs),
+                Arc::clone(&leafs),
+            );
+            let lag = lag(index);
+            if lag.is_zero() {
+                root.apply(apply.0, apply.1, apply.2);
+                continue;
+            }
+            tokio::spawn(async move {
+                sleep(lag).await;
+                root.apply(apply.0, apply.1, apply.2);
+            });
+        }
+    }
+}
