Follow the exchange service's new signature in the fuzz tests

Cause: the service takes a token that stops it; the fuzz test of the wire crate was written against the version without one. Change: the test passes a token that is never cancelled.

--- a/crates/order/tests/faults.rs
+++ b/crates/order/tests/faults.rs
@@ -315,7 +315,10 @@
 /// Finds a seed whose run violates a guarantee with `mutation`, and none without it.
 fn finds(mutation: Mutation, seed: u64, violation: &str) {
     let with = run(seed, mutation).violations;
-    assert!(with.iter().any(|v| v.contains(violation)), "seed {seed}: {with:?}");
+    assert!(
+        with.iter().any(|v| v.contains(violation)),
+        "seed {seed}: {with:?}"
+    );
     let without = run(seed, Mutation::None).violations;
     assert!(without.is_empty(), "seed {seed}: {without:?}");
 }
@@ -326,7 +329,14 @@
 fn survey() {
     for mutation in [Mutation::Claim, Mutation::Nonce, Mutation::Right] {
         for seed in 0..12 {
-            println!("{mutation:?} {seed} {:?}", run(seed, mutation).violations.iter().take(3).collect::<Vec<_>>());
+            println!(
+                "{mutation:?} {seed} {:?}",
+                run(seed, mutation)
+                    .violations
+                    .iter()
+                    .take(3)
+                    .collect::<Vec<_>>()
+            );
         }
     }
 }
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -40,6 +40,7 @@
     net::{TcpListener, TcpStream},
     time::timeout,
 };
+use tokio_util::sync::CancellationToken;
 
 /// Damaged messages of each kind.
 const CASES: u64 = 3_000;
@@ -394,7 +395,11 @@
 #[tokio::test]
 async fn exchange_connections() {
     let (listener, addr) = listen().await;
-    tokio::spawn(rattanmast_wire::exchange::serve(listener, Noted));
+    tokio::spawn(rattanmast_wire::exchange::serve(
+        listener,
+        Noted,
+        CancellationToken::new(),
+    ));
     for seed in 0..CONNECTIONS {
         let _seed = Seed(seed);
         let (framed, bytes): (bool, Vec<u8>) = draw(seed).unwrap_or_default();
