Test single orders and the effect of each guard

Change: look-ups never say not run; the watermark rises with the keys that are asked for; scenario tests; mutation tests for claim, nonce and right. Conclusion: each of the three guards is needed and noticed when missing.

--- a/crates/order/src/ledger.rs
+++ b/crates/order/src/ledger.rs
@@ -126,27 +126,21 @@
         }
     }
 
-    /// Returns what is known of the key; not run if it was not sent by this process.
+    /// Returns what is known of the key.
     pub fn outcome(&self, id: Identity) -> Option<Outcome> {
         let hand = self.hands.get(&id)?;
-        let not_sent = || {
-            refusal::not_run(
-                rattanmast_model::outcome::Reason::Refused,
-                "the order was not run; send it again with the same key",
-            )
-        };
-        match (&hand.active, &hand.sent) {
+        Some(match (&hand.active, &hand.sent) {
             (_, Some(sent)) if !matches!(sent.outcome, Outcome::NotRun { .. }) => {
-                Some(sent.outcome.clone())
+                sent.outcome.clone()
             }
-            (Some(_), _) => Some(refusal::in_progress()),
-            (None, Some(sent)) => Some(sent.outcome.clone()),
-            (None, None) => Some(not_sent()),
-        }
+            (Some(_), _) => refusal::in_progress(),
+            (None, _) => refusal::not_run_so_far(),
+        })
     }
 
     /// Returns the number of orders remembered, and of those in hand.
-    pub fn sizes(&self) -> (usize, usize) {
+    pub fn sizes(&mut self) -> (usize, usize) {
+        self.expire();
         let active = self.hands.values().filter(|h| h.active.is_some()).count();
         (self.hands.len(), active)
     }
--- a/crates/order/src/orders.rs
+++ b/crates/order/src/orders.rs
@@ -218,22 +218,26 @@
 
     /// Returns what this process knows of the order with `key`; serves other hosts.
     ///
-    /// A process that knows only that it did not send the order itself says so for
-    /// tickets alone, because another process may have claimed a key.
+    /// It is never not run: an attempt that is still on its way may run later.
     pub fn local(&self, caller: &str, key: &str) -> Option<Outcome> {
         let id = Identity::new(caller, key);
         let own = lock(&self.inner.ledger).outcome(id);
         if ticket::looks_like(key) {
-            return own;
+            // The asker may not have heard yet that the issuer is gone.
+            let origin = Ticket::parse(key)?;
+            let mine = Holder(origin.host, origin.incarnation) == self.inner.me;
+            return if mine {
+                own
+            } else {
+                Some(refusal::issuer_gone())
+            };
         }
         let logged = self.inner.partitions[usize::from(id.partition())].lookup(id);
-        match (own, logged) {
+        match (own, logged.map(|(state, _)| state)) {
             (Some(Outcome::Done { result }), _) => Some(Outcome::Done { result }),
-            (_, Some((State::Done(result), _))) => Some(recorded(State::Done(result))),
-            (Some(Outcome::NotRun { .. }), _) | (None, None) => None,
-            (own, logged) => own.or_else(|| logged.map(|(state, _)| recorded(state))),
+            (_, Some(state @ State::Done(_))) => Some(recorded(state)),
+            (own, logged) => own.or_else(|| logged.map(recorded)),
         }
-        .filter(|outcome| !matches!(outcome, Outcome::NotRun { .. }))
     }
 
     /// Tells whether the process may send orders now.
@@ -462,9 +466,6 @@
         State::Done(Some(result)) => Outcome::Done { result },
         State::Done(None) => Outcome::AlreadyDone { result: None },
         State::Unknown | State::Open => refusal::holder_gone(),
-        State::NotRun => refusal::not_run(
-            Reason::Refused,
-            "the order was not run; send it again with the same key",
-        ),
+        State::NotRun => refusal::not_run_so_far(),
     }
 }
--- a/crates/order/src/partition/draft.rs
+++ b/crates/order/src/partition/draft.rs
@@ -69,17 +69,17 @@
     pub(super) fn draft(&mut self) -> Option<Draft> {
         let sequence = self.log.as_ref()?.next;
         let table = std::sync::Arc::clone(&self.table);
-        let table = lock(&table);
-        let table = table.as_ref()?;
+        let mut table = lock(&table);
+        let table = table.as_mut()?;
         let since = Moment::now(&self.settings.wall);
         let window = millis(self.settings.window);
         // The newest time in a key bounds the watermark, so that a host whose clock
         // is far ahead does not make the whole fleet refuse all keys for good.
-        let low = since
-            .wall
-            .min(table.newest)
-            .saturating_sub(window)
-            .max(table.low);
+        let newest = self.asks.iter().map(|a| a.ms).fold(table.newest, u64::max);
+        let low = since.wall.min(newest).saturating_sub(window);
+        // Makes room in a full table, although no batch carries the watermark yet.
+        table.raise(low);
+        let low = table.low;
         // A key that is forgotten must not be sent afterwards, so none is claimed that
         // may be forgotten before the claim expires.
         let least =
--- a/crates/order/src/partition/settle.rs
+++ b/crates/order/src/partition/settle.rs
@@ -133,7 +133,7 @@
             .log
             .as_ref()
             .is_some_and(|l| l.proven(&self.settings.wall));
-        if !proven {
+        if !proven && self.settings.mutation != Mutation::Proof {
             // The sequence number may have been used and deleted while this process
             // was paused; then a checkpoint covers it.
             match self.access.get::<Head>(&self.access.head()).await {
--- a/crates/order/src/refusal.rs
+++ b/crates/order/src/refusal.rs
@@ -120,3 +120,11 @@
          /v1/tickets",
     )
 }
+
+/// No attempt has run, but one that is on its way may run.
+pub fn not_run_so_far() -> Outcome {
+    unknown(
+        "no attempt has run so far; send the order again with the same key, which runs it at most \
+         once and tells its outcome",
+    )
+}
--- a/crates/order/src/settings.rs
+++ b/crates/order/src/settings.rs
@@ -52,6 +52,8 @@
     Nonce,
     /// The age of the claim is not checked before the order is sent.
     Right,
+    /// A create is not checked against the checkpoint after a pause.
+    Proof,
 }
 
 impl Default for Settings {
--- /dev/null
+++ b/crates/order/tests/orders/claims.rs
@@ -0,0 +1,371 @@
+//! What single orders get, with one fault at a time.
+
+use std::time::Duration;
+
+use crate::sim::{self, COLLECTION, HOSTS, Process, World, name, uuid};
+use rattanmast_model::{
+    host::Incarnation,
+    outcome::{Outcome, Reason},
+    peer::{self, Step},
+    rank::Rank,
+    request, roster, trace,
+};
+use rattanmast_order::{Settings, Submit, key::Identity, settings::Mutation};
+use tokio::time::{Instant, sleep};
+
+fn world(mutation: Mutation) -> World {
+    World::new(1, sim::settings(mutation))
+}
+
+fn order(caller: &str, key: &str) -> Submit {
+    Submit {
+        caller: caller.into(),
+        key: key.into(),
+        collection: COLLECTION.into(),
+        action: "sharpen".into(),
+        record: "stone".into(),
+        rank: Rank::Urgent,
+        timeout: Duration::from_secs(5),
+        trace: Some(trace::Context {
+            trace: 1,
+            span: 1,
+            sampled: false,
+        }),
+    }
+}
+
+fn reason(outcome: &Outcome) -> Option<Reason> {
+    match outcome {
+        Outcome::NotRun { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+fn runs(world: &World, caller: &str, key: &str) -> usize {
+    let key = (caller.to_owned(), key.to_owned());
+    world.lock().runs.get(&key).map_or(0, Vec::len)
+}
+
+/// Returns a host by its position among the claimers of the key's partition.
+fn claimer(world: &World, key: &str, position: usize) -> usize {
+    let partition = Identity::new("a", key).partition();
+    let host = roster::claimers(&world.config.hosts, partition)[position];
+    (0..HOSTS).find(|h| name(*h) == host.name).unwrap()
+}
+
+/// Makes all hosts believe that `host` is dead.
+fn shun(world: &World, host: usize, shunned: bool) {
+    let until = Instant::now() + Duration::from_secs(if shunned { 100_000 } else { 0 });
+    for slot in &mut world.lock().slots {
+        slot.shunned[host] = until;
+    }
+}
+
+fn process(world: &World, host: usize) -> Process {
+    world.process(host).unwrap()
+}
+
+async fn submit(world: &World, host: usize, key: &str) -> Outcome {
+    process(world, host).submit(order("a", key)).await
+}
+
+/// Guards against a repeated key that runs again, at the same host or at another one.
+#[tokio::test(start_paused = true)]
+async fn repeated_key_runs_once() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    let calls = (0..HOSTS).map(|host| {
+        let world = world.clone();
+        let key = key.clone();
+        async move { submit(&world, host, &key).await }
+    });
+    let outcomes = futures::future::join_all(calls).await;
+    let done = outcomes.iter().filter(|o| o.name() == "done").count();
+    let already = outcomes
+        .iter()
+        .filter(|o| o.name() == "already-done")
+        .count();
+    assert_eq!((done, already, runs(&world, "a", &key)), (1, HOSTS - 1, 1));
+
+    // The claimer is gone: the next one finds the outcome in the log.
+    sleep(Duration::from_secs(2)).await;
+    world.kill(claimer(&world, &key, 0));
+    let other = claimer(&world, &key, 1);
+    assert_eq!(submit(&world, other, &key).await.name(), "already-done");
+    let asked = process(&world, other).outcome("a", &key).await;
+    assert!(matches!(asked, Some(Outcome::Done { .. })), "{asked:?}");
+    assert_eq!(runs(&world, "a", &key), 1);
+}
+
+/// Guards against keys that are taken for another caller's, or for another order.
+#[tokio::test(start_paused = true)]
+async fn keys_belong_to_callers_and_orders() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    assert_eq!(submit(&world, 0, &key).await.name(), "done");
+    let other = process(&world, 0).submit(order("b", &key)).await;
+    assert_eq!(other.name(), "done", "another caller's key is another key");
+    for host in 0..HOSTS {
+        let mut changed = order("a", &key);
+        changed.record = "other".into();
+        let outcome = process(&world, host).submit(changed).await;
+        assert_eq!(reason(&outcome), Some(Reason::Key), "{outcome:?}");
+    }
+}
+
+/// Guards against keys outside the window that run.
+#[tokio::test(start_paused = true)]
+async fn keys_outside_the_window_are_refused() {
+    let world = world(Mutation::None);
+    for key in [
+        uuid(world.true_ms() - 31_000, 1),
+        uuid(world.true_ms() + 6_000, 2),
+        "no key".to_owned(),
+    ] {
+        let outcome = submit(&world, 0, &key).await;
+        assert_eq!(reason(&outcome), Some(Reason::Key), "{key}: {outcome:?}");
+        assert_eq!(runs(&world, "a", &key), 0);
+    }
+}
+
+/// Guards against a refusal that is not true, and a key that is lost, when the store is down.
+#[tokio::test(start_paused = true)]
+async fn store_outage_refuses_and_recovers() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    world.lock().outage = true;
+    let outcome = submit(&world, 0, &key).await;
+    assert_eq!(reason(&outcome), Some(Reason::Store));
+    world.lock().outage = false;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(submit(&world, 1, &key).await.name(), "done");
+}
+
+/// Guards against a claim that took effect unseen and is dispatched, or blocks its key.
+#[tokio::test(start_paused = true)]
+async fn claim_found_later_is_settled() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    let first = claimer(&world, &key, 0);
+    assert_eq!(
+        submit(&world, first, &uuid(world.true_ms(), 1))
+            .await
+            .name(),
+        "done"
+    );
+    assert_eq!(
+        submit(&world, first, &uuid(world.true_ms(), 2))
+            .await
+            .name(),
+        "done"
+    );
+    sleep(Duration::from_secs(1)).await;
+    world.lock().faults.lose_answer = 1.0;
+    let attempt = tokio::spawn({
+        let (world, key) = (world.clone(), key.clone());
+        async move { submit(&world, first, &key).await }
+    });
+    sleep(Duration::from_millis(7)).await;
+    world.lock().outage = true;
+    let outcome = attempt.await.unwrap();
+    assert_eq!(reason(&outcome), Some(Reason::Store), "{outcome:?}");
+    let id = Identity::new("a", &key);
+    assert!(
+        world.lock().claims.contains_key(&id.0),
+        "the claim took effect"
+    );
+
+    world.lock().faults.lose_answer = 0.0;
+    world.lock().outage = false;
+    sleep(Duration::from_secs(5)).await;
+    // The holder recorded that it did not send the order, so another host may claim it.
+    shun(&world, first, true);
+    assert_eq!(submit(&world, first, &key).await.name(), "done");
+    assert_eq!(runs(&world, "a", &key), 1);
+}
+
+/// Guards against an order that is sent again after its claimer died in the middle.
+#[tokio::test(start_paused = true)]
+async fn order_of_a_dead_claimer_is_unknown() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    let first = claimer(&world, &key, 0);
+    let attempt = tokio::spawn({
+        let (world, key) = (world.clone(), key.clone());
+        async move { submit(&world, first, &key).await }
+    });
+    while runs(&world, "a", &key) == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    world.kill(first);
+    attempt.abort();
+    shun(&world, first, true);
+    let other = claimer(&world, &key, 1);
+    assert_eq!(submit(&world, other, &key).await.name(), "unknown");
+    world.boot(first);
+    shun(&world, first, false);
+    assert_eq!(submit(&world, first, &key).await.name(), "unknown");
+    assert_eq!(runs(&world, "a", &key), 1);
+}
+
+/// Guards against a paused claimer that writes a sequence number which was used and deleted.
+#[tokio::test(start_paused = true)]
+async fn deleted_batches_are_not_written_again() {
+    for (mutation, expected) in [(Mutation::None, 1), (Mutation::Proof, 2)] {
+        let settings = Settings {
+            window: Duration::from_secs(3600),
+            idle: Duration::from_secs(3600),
+            ..sim::settings(mutation)
+        };
+        let world = World::new(1, settings);
+        let key = uuid(world.true_ms(), 7);
+        let partition = Identity::new("a", &key).partition();
+        let (first, second) = (claimer(&world, &key, 0), claimer(&world, &key, 1));
+        let now = world.true_ms();
+        let same = (0..).map(|r| uuid(now, 1000 + r));
+        let same = same.filter(|k| Identity::new("a", k).partition() == partition);
+        let keys: Vec<String> = same.take(20).collect();
+        assert_eq!(submit(&world, first, &keys[0]).await.name(), "done");
+        sleep(Duration::from_secs(1)).await;
+        shun(&world, first, true);
+        assert_eq!(submit(&world, second, &key).await.name(), "done");
+        for key in &keys[1..] {
+            assert_eq!(submit(&world, second, key).await.name(), "done");
+            sleep(Duration::from_secs(1)).await;
+        }
+        sleep(Duration::from_secs(90)).await;
+        shun(&world, first, false);
+        submit(&world, first, &key).await;
+        assert_eq!(runs(&world, "a", &key), expected, "{mutation:?}");
+    }
+}
+
+/// Guards against copies of a message, and messages for another process run, that are worked on.
+#[tokio::test(start_paused = true)]
+async fn messages_are_accepted_once() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    let host = claimer(&world, &key, 0);
+    let first = process(&world, host);
+    let message = peer::Order {
+        id: request::Sequence::new("root", Incarnation(1)).next(),
+        target: world.id(host).incarnation,
+        step: Step::Claim,
+        key: key.clone().into(),
+        caller: "a".into(),
+        collection: COLLECTION.into(),
+        action: "sharpen".into(),
+        record: "stone".into(),
+        rank: Rank::Urgent,
+        budget_ms: 5_000,
+        not_after_ms: 0,
+        trace: order("a", &key).trace,
+    };
+    first.serve(false);
+    assert_eq!(
+        reason(&first.accept(message.clone()).await),
+        Some(Reason::Stale)
+    );
+    first.serve(true);
+    // A copy of a refused message must not run after the refusal.
+    assert_eq!(first.accept(message.clone()).await.name(), "unknown");
+    assert_eq!(runs(&world, "a", &key), 0);
+    let elsewhere = peer::Order {
+        id: request::Sequence::new("root", Incarnation(2)).next(),
+        target: Incarnation(99),
+        ..message
+    };
+    assert_eq!(
+        reason(&first.accept(elsewhere).await),
+        Some(Reason::Unreachable)
+    );
+    assert_eq!(submit(&world, host, &key).await.name(), "done");
+}
+
+/// Guards against tickets that need the store, run twice, or run at another process.
+#[tokio::test(start_paused = true)]
+async fn tickets_work_without_the_store() {
+    let world = world(Mutation::None);
+    world.lock().outage = true;
+    let ticket = process(&world, 0).ticket("a");
+    assert_eq!(submit(&world, 1, &ticket).await.name(), "done");
+    assert_eq!(submit(&world, 2, &ticket).await.name(), "already-done");
+    assert_eq!(submit(&world, 0, &ticket).await.name(), "already-done");
+    assert_eq!(runs(&world, "a", &ticket), 1);
+    assert!(world.lock().calls.is_empty(), "{:?}", world.lock().calls);
+
+    let other = process(&world, 1).submit(order("b", &ticket)).await;
+    assert_eq!(reason(&other), Some(Reason::Key), "another caller's ticket");
+    let digit = if ticket.ends_with('0') { "1" } else { "0" };
+    let forged = format!("{}{digit}", &ticket[..ticket.len() - 1]);
+    assert_eq!(reason(&submit(&world, 1, &forged).await), Some(Reason::Key));
+    let late = process(&world, 0).ticket("a");
+    sleep(Duration::from_secs(31)).await;
+    assert_eq!(reason(&submit(&world, 1, &late).await), Some(Reason::Key));
+
+    let unused = process(&world, 0).ticket("a");
+    world.kill(0);
+    world.boot(0);
+    assert_eq!(submit(&world, 0, &unused).await.name(), "unknown");
+    assert_eq!(submit(&world, 1, &unused).await.name(), "unknown");
+    let asked = process(&world, 1).outcome("a", &unused).await;
+    assert!(matches!(asked, Some(Outcome::Unknown { .. })), "{asked:?}");
+}
+
+/// Guards against a stop that cuts off orders in hand.
+#[tokio::test(start_paused = true)]
+async fn drain_ends_every_order() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    let host = claimer(&world, &key, 0);
+    let attempt = tokio::spawn({
+        let (world, key) = (world.clone(), key.clone());
+        async move { submit(&world, host, &key).await }
+    });
+    sleep(Duration::from_millis(3)).await;
+    process(&world, host).drain().await;
+    assert_eq!(process(&world, host).stats().in_hand, 0);
+    assert_eq!(attempt.await.unwrap().name(), "done");
+    let refused = submit(&world, host, &uuid(world.true_ms(), 8)).await;
+    assert_eq!(reason(&refused), Some(Reason::Stopping));
+    world.kill(host);
+    let other = claimer(&world, &key, 1);
+    shun(&world, host, true);
+    assert_eq!(submit(&world, other, &key).await.name(), "already-done");
+}
+
+/// Guards against objects over the platform's limit and memory that grows without bound.
+#[tokio::test(start_paused = true)]
+async fn batches_and_memory_are_bounded() {
+    let settings = Settings {
+        keys: 5_000,
+        ..sim::settings(Mutation::None)
+    };
+    let world = World::new(1, settings);
+    let orders = (0..12_000).map(|n| {
+        let (process, key) = (process(&world, 0), uuid(world.true_ms(), n << 20));
+        async move {
+            // More at one instant would overtake each other by more than `inbox` tells apart.
+            sleep(Duration::from_millis(n / 10)).await;
+            process.submit(order("a", &key)).await
+        }
+    });
+    // The store of the test panics on values over the limit.
+    let outcomes = futures::future::join_all(orders).await;
+    let full = outcomes
+        .iter()
+        .filter(|o| reason(o) == Some(Reason::Overload))
+        .count();
+    assert!(
+        (1_900..2_100).contains(&full),
+        "{full} of 12,000 refused with room for 10,000"
+    );
+    assert!(outcomes.iter().all(|o| o.name() != "unknown"));
+    sleep(Duration::from_secs(60)).await;
+    for host in 0..HOSTS {
+        let key = uuid(world.true_ms(), 1 + host as u64);
+        assert_eq!(submit(&world, host, &key).await.name(), "done");
+        let keys = process(&world, host).stats().keys;
+        assert!(keys < 20, "{keys} keys in memory after the window");
+    }
+}
--- a/crates/order/tests/faults.rs
+++ b/crates/order/tests/orders/faults.rs
@@ -1,24 +1,22 @@
 //! Guards against orders that run twice and refusals that are not true, under all faults at once.
 //!
-//! `RATTANMAST_ORDER_ATTEMPTS=1000000 cargo test --release -p rattanmast-order --test faults -- --nocapture`
+//! `RATTANMAST_ORDER_ATTEMPTS=1000000 cargo test --release -p rattanmast-order --test orders all_faults -- --nocapture`
 //! runs that many attempts; without it a bounded number of seeds is run.
 
-mod sim;
-
 use std::{
     collections::BTreeMap,
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
 };
 
+use crate::sim::{self, COLLECTION, Faults, HOSTS, SKEW, World};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rattanmast_model::{
     outcome::{Outcome, Reason},
     rank::Rank,
     trace,
 };
-use rattanmast_order::{Submit, settings::Mutation};
-use sim::{COLLECTION, Faults, HOSTS, SKEW, World};
+use rattanmast_order::{Settings, Submit, settings::Mutation};
 use tokio::time::{Instant, sleep};
 
 /// How long faults and new orders go on in a run.
@@ -251,7 +249,13 @@
         .build()
         .unwrap();
     runtime.block_on(async {
-        let world = World::new(seed, sim::settings(mutation));
+        // A process that is paused during a call finds the answer and the expired timer
+        // at once, and takes the answer; the longer limit stands for that.
+        let settings = Settings {
+            call: Duration::from_secs(if seed.is_multiple_of(2) { 1 } else { 90 }),
+            ..sim::settings(mutation)
+        };
+        let world = World::new(seed, settings);
         let attempts = std::sync::Arc::new(std::sync::Mutex::new(Attempts::new()));
         let mut rng = SmallRng::seed_from_u64(seed);
         world.lock().faults = Faults::all(&mut rng);
@@ -263,8 +267,8 @@
         world.lock().faults = Faults::default();
         // Pauses, delayed messages and late writes have ended when this is over.
         sleep(2 * SPAN).await;
-        let tally = Tally::check(&world, &attempts.lock().unwrap());
-        tally
+        let attempts = attempts.lock().unwrap();
+        Tally::check(&world, &attempts)
     })
 }
 
@@ -312,21 +316,35 @@
     );
 }
 
-/// Finds a seed whose run violates a guarantee with `mutation`, and none without it.
-fn finds(mutation: Mutation, seed: u64, violation: &str) {
-    let with = run(seed, mutation).violations;
-    assert!(with.iter().any(|v| v.contains(violation)), "seed {seed}: {with:?}");
-    let without = run(seed, Mutation::None).violations;
-    assert!(without.is_empty(), "seed {seed}: {without:?}");
+/// Asserts that a run among the first seeds shows `violation` with `mutation`, and none without.
+///
+/// A fixed range of seeds instead of one, because any change of the code moves the faults.
+fn finds(mutation: Mutation, violation: &str) {
+    let shows = |seed: &u64| {
+        let violations = run(*seed, mutation).violations;
+        violations.iter().any(|v| v.contains(violation))
+    };
+    let seed = (0..60).find(shows);
+    let seed = seed.expect("the checks do not notice that a guard is gone");
+    println!("{mutation:?}: seed {seed} shows it");
+    let violations = run(seed, Mutation::None).violations;
+    assert!(violations.is_empty(), "seed {seed}: {violations:?}");
 }
 
-/// Prints the violations of each mutation, to choose the seeds below.
+/// Guards against a check that passes also when orders are sent without a claim.
 #[test]
-#[ignore]
-fn survey() {
-    for mutation in [Mutation::Claim, Mutation::Nonce, Mutation::Right] {
-        for seed in 0..12 {
-            println!("{mutation:?} {seed} {:?}", run(seed, mutation).violations.iter().take(3).collect::<Vec<_>>());
-        }
-    }
+fn missing_claim_is_noticed() {
+    finds(Mutation::Claim, "times");
+}
+
+/// Guards against a check that passes also when a batch is not told from another claimer's.
+#[test]
+fn missing_nonce_is_noticed() {
+    finds(Mutation::Nonce, "times");
+}
+
+/// Guards against a check that passes also when the age of a claim is not looked at.
+#[test]
+fn missing_right_is_noticed() {
+    finds(Mutation::Right, "after its claim");
 }
--- a/crates/order/tests/sim/platform.rs
+++ b/crates/order/tests/orders/sim/platform.rs
@@ -44,6 +44,9 @@
 
     async fn back(&self) {
         self.world.wait(1..5).await;
+        if self.world.chance(|f| f.hang) {
+            self.world.wait(500..20_000).await;
+        }
         self.world.gate(self.id).await;
     }
 
