--- a/crates/try/src/cli.rs
+++ b/crates/try/src/cli.rs
@@ -24,7 +24,7 @@
     #[bpaf(
         env("RATTANMAST_TEXT"),
         argument("TEXT"),
-        fallback("hollow-3".to_owned()),
+        fallback("profile-03".to_owned()),
         display_fallback
     )]
     text: String,
