--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -52,6 +52,22 @@
         self.until("a whole answer", whole).await;
     }
 
+    /// Checks what was said of each order, once nothing of them is in hand any more.
+    async fn check_all(&self, keys: &[String], outcomes: &[&[Result<Outcome, String>]]) {
+        self.until_whole(1).await;
+        let mut tally = std::collections::BTreeMap::<&str, u32>::new();
+        for outcome in outcomes.iter().copied().flatten() {
+            *tally
+                .entry(outcome.as_ref().map_or("broken", Outcome::name))
+                .or_default() += 1;
+        }
+        println!("outcomes: {tally:?}");
+        for (n, key) in keys.iter().enumerate() {
+            let said: Vec<_> = outcomes.iter().map(|o| o[n].clone()).collect();
+            self.check(key, &said).await;
+        }
+    }
+
     /// Checks that what was said of the orders with `key` agrees with what ran.
     async fn check(&self, key: &str, outcomes: &[Result<Outcome, String>]) {
         let runs = self.runs(key).await;
@@ -67,16 +83,30 @@
     }
 }
 
+impl Env {
+    /// Sends an order for each of `keys` to `host`, 1 ms apart, so that a fault meets them at all steps.
+    async fn spread(&self, keys: &[String], host: usize) -> Vec<Result<Outcome, String>> {
+        let sent = keys.iter().zip(0_u64..).map(|(key, n)| async move {
+            sleep(Duration::from_millis(n)).await;
+            self.order(host, key).await
+        });
+        join_all(sent).await
+    }
+}
+
+fn is_unknown(outcome: &Result<Outcome, String>) -> bool {
+    matches!(outcome, Ok(Outcome::Unknown { .. }))
+}
+
 fn is_done(outcome: &Result<Outcome, String>) -> bool {
     matches!(outcome, Ok(Outcome::Done { .. }))
 }
 
-/// Guards against an installation without faults whose answers are not whole.
+/// Guards against a host that is ready but does not answer wholly from its first request on.
 #[tokio::test]
 async fn queries_are_whole() {
     let env = Env::start("queries_are_whole", false).await;
     for host in 0..3 {
-        env.until_whole(host).await;
         let text = records::term(9);
         let found = env.search(host, &text).await.unwrap();
         assert!(env.whole(&text, &found), "{found:?}");
@@ -113,16 +143,16 @@
 /// Guards against a host whose death leaves its share of the services or of the keys without service.
 #[tokio::test]
 async fn a_host_is_killed() {
-    let mut env = Env::start("a_host_is_killed", false).await;
+    let env = Env::start("a_host_is_killed", false).await;
     env.until_whole(0).await;
-    let keys: Vec<String> = (0..20).map(|_| key()).collect();
-    env.hosts[2].kill();
-    for key in &keys {
-        let outcome = env.order(0, key).await;
-        env.check(key, &[outcome]).await;
-    }
+    let keys: Vec<String> = (0..60).map(|_| key()).collect();
+    let (orders, ()) = tokio::join!(env.spread(&keys, 0), async {
+        sleep(Duration::from_millis(30)).await;
+        env.hosts[2].signal("KILL");
+    });
     env.until_whole(0).await;
     env.until_whole(1).await;
+    env.check_all(&keys, &[&orders]).await;
     let done = async |e: &Env| {
         let key = key();
         let outcome = e.order(1, &key).await;
@@ -139,14 +169,6 @@
     let env = Env::start("a_host_is_paused", false).await;
     env.until_whole(0).await;
     let keys: Vec<String> = (0..40).map(|_| key()).collect();
-    // The pause finds the orders at different steps.
-    let sent = keys.iter().zip(0_u64..).map(|(key, n)| {
-        let env = &env;
-        async move {
-            sleep(Duration::from_millis(n)).await;
-            env.order(0, key).await
-        }
-    });
     let again = async {
         sleep(Duration::from_millis(20)).await;
         env.hosts[0].signal("STOP");
@@ -156,14 +178,11 @@
         env.hosts[0].signal("CONT");
         (early, late)
     };
-    let (first, (early, late)) = tokio::join!(join_all(sent), again);
+    let (first, (early, late)) = tokio::join!(env.spread(&keys, 0), again);
     env.until("a host that is ready again", async |e| e.ready(0).await)
         .await;
-    let outcomes = first.into_iter().zip(early).zip(late);
-    for (key, ((first, early), late)) in keys.iter().zip(outcomes) {
-        env.check(key, &[first, early, late]).await;
-    }
     env.until_whole(0).await;
+    env.check_all(&keys, &[&first, &early, &late]).await;
 }
 
 /// Guards against a planned stop that cuts off or refuses a request.
@@ -255,11 +274,9 @@
     env.admin(proxy, "/routes/*/faults", json!({"lose_reply": 0.2}))
         .await;
     let keys: Vec<String> = (0..60).map(|_| key()).collect();
-    let first = join_all(keys.iter().map(|key| env.order(0, key))).await;
+    let first = env.spread(&keys, 0).await;
+    assert!(first.iter().any(is_unknown), "{first:?}");
     let again = join_all(keys.iter().map(|key| env.order(1, key))).await;
-    for (key, outcomes) in keys.iter().zip(first.into_iter().zip(again)) {
-        env.check(key, &[outcomes.0, outcomes.1]).await;
-    }
     let text = records::term(5);
     for host in 0..3 {
         let found = env.search(host, &text).await.unwrap();
@@ -271,13 +288,12 @@
         json!({"close_after_request": 0.2}),
     )
     .await;
-    let keys: Vec<String> = (0..60).map(|_| key()).collect();
-    let outcomes = join_all(keys.iter().map(|key| env.order(2, key))).await;
-    for (key, outcome) in keys.iter().zip(outcomes) {
-        env.check(key, &[outcome]).await;
-    }
+    let closed: Vec<String> = (0..60).map(|_| key()).collect();
+    let outcomes = env.spread(&closed, 2).await;
+    assert!(outcomes.iter().any(is_unknown), "{outcomes:?}");
     env.admin(proxy, "/routes/*/faults", json!({})).await;
-    env.until_whole(0).await;
+    env.check_all(&keys, &[&first, &again]).await;
+    env.check_all(&closed, &[&outcomes]).await;
 }
 
 /// Guards against connections to leafs that go silent and stall all later queries.
@@ -290,11 +306,9 @@
     }
     env.admin(proxy, "/routes/*/silence", json!({})).await;
     let keys: Vec<String> = (0..10).map(|_| key()).collect();
-    let outcomes = join_all(keys.iter().map(|key| env.order(0, key))).await;
-    for (key, outcome) in keys.iter().zip(outcomes) {
-        env.check(key, &[outcome]).await;
-    }
+    let outcomes = env.spread(&keys, 0).await;
     for host in 0..3 {
         env.until_whole(host).await;
     }
+    env.check_all(&keys, &[&outcomes]).await;
 }
