Expect a digest from the exchange service in its fuzz test

Cause: the service became one call for each kind of message, and turns a reply of another kind into an empty digest; the test still expected `Noted`. Change: the test's handler answers with a digest that names it, and the test expects exactly that one. Conclusion: the check is as strict as before.

--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -382,12 +382,20 @@
     }
 }
 
+/// Answers with a digest that names it.
 #[derive(Clone)]
-struct Noted;
+struct Named;
 
-impl Handler for Noted {
+impl Handler for Named {
     async fn handle(&self, _: exchange::Message) -> Reply {
-        Reply::Noted
+        Reply::Digest(named())
+    }
+}
+
+fn named() -> exchange::Digest {
+    exchange::Digest {
+        host: "b".into(),
+        ..exchange::Digest::default()
     }
 }
 
@@ -397,7 +405,7 @@
     let (listener, addr) = listen().await;
     tokio::spawn(rattanmast_wire::exchange::serve(
         listener,
-        Noted,
+        Named,
         CancellationToken::new(),
     ));
     for seed in 0..CONNECTIONS {
@@ -410,5 +418,5 @@
     }
     let message = exchange::Message::Exchange(exchange::Digest::default());
     let reply = Client::default().call(addr, message, LONG).await;
-    assert_eq!(reply.unwrap(), Reply::Noted);
+    assert_eq!(reply.unwrap(), Reply::Digest(named()));
 }
