--- a/crates/fakes/tests/http.rs
+++ b/crates/fakes/tests/http.rs
@@ -301,3 +301,51 @@
     // The proxy keeps its end towards the leaf open until the hold has passed.
     until("the end of the hold", || model.connections() == 1).await;
 }
+
+/// Guards against a direction that is lost only in part, or both ways.
+#[tokio::test]
+async fn proxy_loses_one_direction() {
+    let (model, mut leaf) = serve_leaf().await;
+    let route = route(leaf.addr).await;
+    leaf.addr = route.listen();
+    let to_target = proxy::Faults {
+        drop_to_target: true,
+        ..proxy::Faults::default()
+    };
+    let to_client = proxy::Faults {
+        drop_to_client: true,
+        ..proxy::Faults::default()
+    };
+    let silent = proxy::Faults {
+        silent_new: true,
+        ..proxy::Faults::default()
+    };
+    let slow = proxy::Faults {
+        delay_ms: 1,
+        jitter_ms: 2,
+        ..proxy::Faults::default()
+    };
+    let cases = [(to_target, false), (to_client, true), (silent, false)];
+    for ((faults, arrives), sequence) in cases.into_iter().zip(1..) {
+        route.set_faults(faults);
+        let key = format!("order-{sequence}");
+        let mut link = Connector.open(&leaf).await.unwrap();
+        let wanted = order(sequence, &key);
+        let answer = tokio::time::timeout(SHORT, link.order(&wanted)).await;
+        assert!(answer.is_err(), "{faults:?}");
+        if arrives {
+            until("an order that runs", || {
+                model.runs().contains_key(key.as_str())
+            })
+            .await;
+        }
+        assert_eq!(
+            model.runs().contains_key(key.as_str()),
+            arrives,
+            "{faults:?}"
+        );
+    }
+    route.set_faults(slow);
+    let mut link = Connector.open(&leaf).await.unwrap();
+    link.order(&order(9, "slow")).await.unwrap();
+}
--- a/crates/host/tests/env/mod.rs
+++ b/crates/host/tests/env/mod.rs
@@ -242,6 +242,21 @@
         sum
     }
 
+    /// Returns how many connections the leafs refused because hosts held too many.
+    pub async fn refused(&self) -> u64 {
+        let mut sum = 0;
+        for leafs in &self.leafs {
+            let addr = leafs.addr("/admin");
+            let call = self.call(Method::GET, addr, "/leafs/*", Vec::new());
+            let leafs: BTreeMap<String, Value> = parse(&call.await.unwrap().2);
+            let refused = leafs
+                .values()
+                .map(|l| l["counters"]["refused"].as_u64().unwrap());
+            sum += refused.sum::<u64>();
+        }
+        sum
+    }
+
     /// Posts to an admin path of a stand-in.
     pub async fn admin(&self, process: &Process, path: &str, body: Value) {
         let pointer = if process.line.get("admin").is_some() {
