Refuse a message for an earlier process run only if no copy can have run

Change: the refusal says not run only if the message was made after the process started, else unknown; a root's message carries the time it was made.

--- a/crates/order/src/inbox.rs
+++ b/crates/order/src/inbox.rs
@@ -5,7 +5,10 @@
 use rattanmast_model::{hash::Map, host, outcome::Outcome, peer, request};
 use tokio::time::Instant;
 
-use crate::refusal;
+use crate::{
+    refusal,
+    settings::{CLAIM_TTL, millis},
+};
 
 /// Sequence numbers below the highest one that are told apart, for each sender.
 ///
@@ -19,6 +22,17 @@
 /// Idle time after which a sender may be forgotten: all its keys are too old by then.
 const IDLE: Duration = Duration::from_secs(3600);
 
+/// The most by which the clocks of two hosts are taken to differ, in milliseconds.
+const SKEW: u64 = 1_000;
+
+/// Returns a time not after the one at which `message` was made, in milliseconds since the epoch.
+fn made_ms(message: &peer::Order) -> u64 {
+    message.not_after_ms.saturating_sub(match message.step {
+        peer::Step::Claim => message.budget_ms.into(),
+        peer::Step::Dispatch => millis(CLAIM_TTL),
+    })
+}
+
 /// What arrived from one process run of a sender.
 #[derive(Debug)]
 struct Sender {
@@ -76,11 +90,17 @@
     ///
     /// # Errors
     ///
-    /// The outcome to reply with: not run if the message is for another process
-    /// run, unknown if it may be a copy of one that was accepted.
+    /// The outcome to reply with. Not run if the message is for an earlier process
+    /// run that had ended before the message was made; unknown if it may be a copy
+    /// of one that was accepted, here or by that earlier run.
     pub fn admit(&mut self, message: &peer::Order) -> Result<(), Outcome> {
         if message.target != self.incarnation {
-            return Err(refusal::restarted());
+            let earlier = message.target < self.incarnation;
+            let started = self.incarnation.0 / 1_000_000 + SKEW;
+            return Err(match earlier && made_ms(message) >= started {
+                true => refusal::restarted(),
+                false => refusal::duplicate(),
+            });
         }
         self.insert(message.id)
             .then_some(())
--- a/crates/order/src/partition/draft.rs
+++ b/crates/order/src/partition/draft.rs
@@ -8,7 +8,7 @@
     key::Identity,
     log::Moment,
     record::{Batch, Holder, OBJECT_LIMIT, Record, State},
-    settings::{Mutation, millis},
+    settings::{CLAIM_TTL, Mutation, millis},
     table::Table,
 };
 
@@ -82,8 +82,7 @@
         let low = table.low;
         // A key that is forgotten must not be sent afterwards, so none is claimed that
         // may be forgotten before the claim expires.
-        let least =
-            since.wall.saturating_sub(window).max(low) + 2 * millis(self.settings.claim_ttl);
+        let least = since.wall.saturating_sub(window).max(low) + 2 * millis(CLAIM_TTL);
 
         let (mut asks, mut records, mut size) = (Vec::new(), Vec::new(), 0);
         let mut waiting = std::mem::take(&mut self.asks).into_iter();
--- a/crates/order/src/root.rs
+++ b/crates/order/src/root.rs
@@ -116,6 +116,7 @@
     }
 
     fn message(&self, order: &Submit, target: host::Incarnation, left: Duration) -> peer::Order {
+        let budget_ms = send::budget_ms(left);
         peer::Order {
             id: self.inner.sequence.next(),
             target,
@@ -126,8 +127,9 @@
             action: order.action.clone(),
             record: order.record.clone(),
             rank: order.rank,
-            budget_ms: send::budget_ms(left),
-            not_after_ms: 0,
+            budget_ms,
+            // Tells the receiver when the message was made; the claimer sets its own limit.
+            not_after_ms: self.inner.settings.wall.now_ms() + u64::from(budget_ms),
             trace: order.trace,
         }
     }
--- a/crates/order/src/send.rs
+++ b/crates/order/src/send.rs
@@ -15,7 +15,7 @@
 use crate::{
     log::Moment,
     refusal,
-    settings::{Mutation, Settings, millis},
+    settings::{CLAIM_TTL, Mutation, Settings, millis},
 };
 
 /// The right to send an order: its claim, for a limited time.
@@ -34,7 +34,7 @@
     /// wall clock's times at the claim and now the earlier limit counts, so that a
     /// clock that jumps in between does not extend the right.
     pub fn not_after(&self, settings: &Settings) -> Option<u64> {
-        let ttl = settings.claim_ttl;
+        let ttl = CLAIM_TTL;
         let now = settings.wall.now_ms();
         if settings.mutation == Mutation::Right {
             return Some(now + millis(ttl));
--- a/crates/order/src/settings.rs
+++ b/crates/order/src/settings.rs
@@ -9,6 +9,11 @@
 /// All hosts of a fleet must agree on it, because a key is claimed in one partition only.
 pub const PARTITIONS: u16 = 2;
 
+/// How long after its claim an order may be sent.
+///
+/// All hosts of a fleet must agree on it, because the age of messages is told from it.
+pub const CLAIM_TTL: Duration = Duration::from_secs(2);
+
 /// Times and bounds of orders; the defaults are those of the design page.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -16,8 +21,6 @@
     pub window: Duration,
     /// How far in the future the time in a key may be, for clocks of callers that are ahead.
     pub ahead: Duration,
-    /// How long after its claim an order may be sent.
-    pub claim_ttl: Duration,
     /// The least time between two writes to a partition.
     pub interval: Duration,
     /// How long an outcome waits for a batch of claims to be written with.
@@ -61,7 +64,6 @@
         Self {
             window: Duration::from_secs(600),
             ahead: Duration::from_secs(60),
-            claim_ttl: Duration::from_secs(2),
             interval: Duration::from_millis(50),
             flush: Duration::from_millis(500),
             call: Duration::from_secs(1),
--- a/crates/order/tests/orders/claims.rs
+++ b/crates/order/tests/orders/claims.rs
@@ -258,7 +258,7 @@
         record: "stone".into(),
         rank: Rank::Urgent,
         budget_ms: 5_000,
-        not_after_ms: 0,
+        not_after_ms: world.true_ms() + 5_000,
         trace: order("a", &key).trace,
     };
     first.serve(false);
@@ -270,11 +270,14 @@
     // A copy of a refused message must not run after the refusal.
     assert_eq!(first.accept(message.clone()).await.name(), "unknown");
     assert_eq!(runs(&world, "a", &key), 0);
-    let elsewhere = peer::Order {
+    let mut elsewhere = peer::Order {
         id: request::Sequence::new("root", Incarnation(2)).next(),
         target: Incarnation(99),
         ..message
     };
+    // A copy of a message that is older than the process may have run at the earlier run.
+    assert_eq!(first.accept(elsewhere.clone()).await.name(), "unknown");
+    elsewhere.not_after_ms += 2_000;
     assert_eq!(
         reason(&first.accept(elsewhere).await),
         Some(Reason::Unreachable)
--- a/crates/order/tests/orders/sim/mod.rs
+++ b/crates/order/tests/orders/sim/mod.rs
@@ -208,11 +208,8 @@
 
     /// Starts a new process run on `host`.
     pub fn boot(&self, host: usize) {
-        let (incarnation, seed) = {
-            let mut state = self.lock();
-            let before = state.slots[host].incarnation.0;
-            (Incarnation(before + 1), state.rng.random())
-        };
+        let incarnation = Incarnation(self.wall_ms(host) * 1_000_000);
+        let seed = self.lock().rng.random();
         let world = self.clone();
         let id = Id { host, incarnation };
         let settings = Settings {
--- a/crates/order/tests/orders/sim/network.rs
+++ b/crates/order/tests/orders/sim/network.rs
@@ -7,7 +7,7 @@
     outcome::{Outcome, Reason},
     peer::{self, Error, Order, Result, Step, Subquery, Subreply},
 };
-use rattanmast_order::key::Identity;
+use rattanmast_order::{key::Identity, settings::CLAIM_TTL};
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout},
@@ -132,7 +132,7 @@
         let mut state = self.lock();
         let identity = Identity::new(&message.caller, &message.key);
         let claimed = state.claims.get(&identity.0).copied();
-        let limit = self.settings.claim_ttl + WAY + Duration::from_millis(SKEW.unsigned_abs());
+        let limit = CLAIM_TTL + WAY + Duration::from_millis(SKEW.unsigned_abs());
         if let Some(age) = claimed.map(|at| at.elapsed()).filter(|age| *age > limit) {
             let violation = format!("key {} ran {age:?} after its claim", message.key);
             state.violations.push(violation);
