--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,6 +20,7 @@
 mod spread;
 mod state;
 pub mod status;
+pub mod stop;
 pub mod table;
 pub mod view;
 mod watching;
--- a/crates/state/src/proof.rs
+++ b/crates/state/src/proof.rs
@@ -121,6 +121,11 @@
         self.informed
     }
 
+    /// Tells whether a newer configuration than the one held is in force.
+    pub fn behind(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Returns what can be proven at `now`.
     pub fn proof(&self, now: Instant) -> Proof {
         Proof {
--- a/crates/state/src/spread.rs
+++ b/crates/state/src/spread.rs
@@ -147,10 +147,8 @@
         let (old, jitter) = {
             let mut state = node.lock();
             let proof = state.ledger.proof(Instant::now());
-            (
-                proof.age.is_none_or(|a| a > OLD),
-                state.rng.random_range(0.9..1.1),
-            )
+            let old = proof.age.is_none_or(|a| a > OLD) || state.ledger.behind();
+            (old, state.rng.random_range(0.9..1.1))
         };
         let haste = old && hasty.take(Instant::now());
         let pause = if haste { HASTE } else { every };
@@ -256,11 +254,21 @@
 /// Fetches objects, each from one host at a time.
 pub(crate) async fn pull<S: Store, X: Exchange>(node: &Node<S, X>, addr: SocketAddr, fetch: Fetch) {
     let mut wants = fetch.wants;
-    wants.retain(|(name, _)| node.lock().pulling.insert(name.clone()));
     if wants.is_empty() {
         return;
     }
-    let claimed = Claimed(node, wants.iter().map(|w| w.0.clone()).collect());
+    let now = Instant::now();
+    // A lost request must not keep the object from being fetched from another host.
+    let limit = node.shared.settings.reply;
+    node.lock().claim(&mut wants, now, limit);
+    if wants.is_empty() {
+        return;
+    }
+    let claimed = Claimed {
+        node,
+        names: wants.iter().map(|w| w.0.clone()).collect(),
+        at: now,
+    };
     let whole = receive(node, addr, wants).await;
     if !whole.is_empty() {
         receive(node, addr, whole).await;
@@ -269,14 +277,15 @@
 }
 
 /// Objects that are being fetched; released on drop, so that a dropped fetch can be repeated.
-struct Claimed<'a, S: Store, X: Exchange>(&'a Node<S, X>, Vec<SmolStr>);
+struct Claimed<'a, S: Store, X: Exchange> {
+    node: &'a Node<S, X>,
+    names: Vec<SmolStr>,
+    at: Instant,
+}
 
 impl<S: Store, X: Exchange> Drop for Claimed<'_, S, X> {
     fn drop(&mut self) {
-        let mut state = self.0.lock();
-        for name in &self.1 {
-            state.pulling.remove(name);
-        }
+        self.node.lock().release(&self.names, self.at);
     }
 }
 
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -1,12 +1,12 @@
 //! What a node knows, behind one lock that is never held across a wait.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use rattanmast_model::{
     config,
     exchange::{Digest, RUMORS, Source, Update},
-    hash::{Map, Set},
+    hash::Map,
     host::{Host, Incarnation, Name},
     store::{Object, Version},
 };
@@ -39,7 +39,8 @@
     pub others: Vec<(Name, SocketAddr)>,
     pub addrs: Map<Name, SocketAddr>,
     pub sought: Vec<Name>,
-    pub pulling: Set<SmolStr>,
+    /// Objects that are being fetched, each with the time of the request.
+    pub pulling: Map<SmolStr, Instant>,
     pub rng: SmallRng,
 }
 
@@ -57,7 +58,7 @@
             others: Vec::new(),
             addrs: Map::default(),
             sought: Vec::new(),
-            pulling: Set::default(),
+            pulling: Map::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -163,7 +164,7 @@
     /// The sender computed the age after `sent`, so `sent - age` is never too recent.
     pub fn trust(&mut self, reply: &Digest, sent: Instant) {
         if let Some(confirmed) = reply.confirmed {
-            let age = std::time::Duration::from_millis(confirmed.age_ms.into());
+            let age = Duration::from_millis(confirmed.age_ms.into());
             if let Some(at) = sent.checked_sub(age) {
                 self.ledger.confirm(confirmed.version, at, confirmed.source);
             }
@@ -225,6 +226,29 @@
         Some((name, addr))
     }
 
+    /// Claims objects that are not being fetched, or whose fetch has taken longer than `limit`.
+    pub fn claim(&mut self, wants: &mut Vec<(SmolStr, Version)>, now: Instant, limit: Duration) {
+        let pulling = &mut self.pulling;
+        wants.retain(|(name, _)| {
+            let free = pulling
+                .get(name)
+                .is_none_or(|at| now.duration_since(*at) >= limit);
+            if free {
+                pulling.insert(name.clone(), now);
+            }
+            free
+        });
+    }
+
+    /// Releases objects claimed at `at`, unless another fetch claimed them since.
+    pub fn release(&mut self, names: &[SmolStr], at: Instant) {
+        for name in names {
+            if self.pulling.get(name) == Some(&at) {
+                self.pulling.remove(name);
+            }
+        }
+    }
+
     /// Asks for the process run of `host` at the next exchange.
     pub fn seek(&mut self, host: &Name) {
         let room = self.sought.len() < SOUGHT && !self.sought.contains(host);
--- a/crates/state/src/watching.rs
+++ b/crates/state/src/watching.rs
@@ -28,8 +28,13 @@
 /// The waits after the first and after many failed calls.
 const BACKOFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
 
-/// The waits of a host without configuration between reads of the platform.
-const ALONE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(30));
+/// The waits between reads of the platform of a seed without configuration.
+const SEED: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(30));
+
+/// The same of other hosts, which learn from the seeds unless all of them are lost.
+///
+/// A fleet of 2,200 hosts that starts at once would otherwise read the platform all together.
+const ALONE: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(30));
 
 /// Time that a watch may take beyond its wait before it is taken to be silent.
 const SILENT: Duration = Duration::from_secs(5);
@@ -49,6 +54,8 @@
 pub(crate) async fn versions<S: Store, X: Exchange>(node: &Node<S, X>) {
     let mut alone = 0;
     let settings = &node.shared.settings;
+    let seed = settings.seeds.contains(&node.shared.me.exchange);
+    let waits = if seed { SEED } else { ALONE };
     loop {
         let (watcher, none) = {
             let state = node.lock();
@@ -57,7 +64,7 @@
         if none {
             // Peers are asked first, so that a fleet that starts does not flood the platform.
             if alone > 0 || !settings.seeds.is_empty() {
-                sleep(backoff(node, ALONE, alone)).await;
+                sleep(backoff(node, waits, alone)).await;
             }
             alone += 1;
             if node.lock().config().version.0 == 0 {
--- /dev/null
+++ b/crates/state/tests/stop.rs
@@ -0,0 +1,62 @@
+//! A host's planned stop.
+
+use std::time::Duration;
+
+use rattanmast_state::stop::{Limits, Phase, Stop};
+use tokio::time::Instant;
+
+const LIMITS: Limits = Limits {
+    lame_duck: Duration::from_secs(5),
+    longest: Duration::from_secs(30),
+};
+
+fn at(began: Instant, seconds: u64) -> Instant {
+    began + Duration::from_secs(seconds)
+}
+
+/// Guards against refusing requests that the balancer still sends.
+#[test]
+fn lame_duck_accepts_new_requests() {
+    let began = Instant::now();
+    let mut stop = Stop::new(LIMITS);
+    assert!(stop.ready() && stop.accepts());
+    stop.signal(began);
+    assert_eq!(stop.step(at(began, 4), 0), Phase::LameDuck);
+    assert!(!stop.ready() && stop.accepts());
+    assert_eq!(stop.wake(), Some(at(began, 5)));
+}
+
+/// Guards against an exit that cuts off requests in flight.
+#[test]
+fn draining_waits_for_work_in_flight() {
+    let began = Instant::now();
+    let mut stop = Stop::new(LIMITS);
+    stop.signal(began);
+    assert_eq!(stop.step(at(began, 5), 2), Phase::Draining);
+    assert!(!stop.accepts());
+    assert_eq!(stop.step(at(began, 20), 1), Phase::Draining);
+    assert_eq!(stop.step(at(began, 21), 0), Phase::Done);
+    assert!(!stop.forced());
+}
+
+/// Guards against a stop that never ends because one request hangs.
+#[test]
+fn longest_stop_ends_the_wait() {
+    let began = Instant::now();
+    let mut stop = Stop::new(LIMITS);
+    stop.signal(began);
+    assert_eq!(stop.step(at(began, 29), 1), Phase::Draining);
+    assert_eq!(stop.step(at(began, 30), 1), Phase::Done);
+    assert!(stop.forced());
+}
+
+/// Guards against an operator who cannot hurry a stop.
+#[test]
+fn second_signal_ends_the_wait() {
+    let began = Instant::now();
+    let mut stop = Stop::new(LIMITS);
+    stop.signal(began);
+    stop.signal(at(began, 1));
+    assert_eq!(stop.step(at(began, 1), 3), Phase::Done);
+    assert!(stop.forced());
+}
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    ops::Range,
+    ops,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -13,11 +13,13 @@
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use rattanmast_fakes::memory::Store;
 use rattanmast_model::{
+    catalog::{self, Hosts, Leafs},
     config::{self, Config},
     exchange::{Exchange, Message, Reply},
     hash::Map,
-    host::{Host, Incarnation},
-    peer, preset,
+    host::{self, Host, Incarnation},
+    leaf, peer, preset,
+    range::Range,
 };
 use rattanmast_state::{intent::Intent, node, record, settings::Settings};
 use smol_str::{SmolStr, format_smolstr};
@@ -45,7 +47,7 @@
     pub loss: f64,
     /// The share of calls that arrive a second time, up to 5 s later.
     pub repeat: f64,
-    pub latency: Range<u64>,
+    pub latency: ops::Range<u64>,
     pub traffic: Map<SocketAddr, Traffic>,
     pub counting: bool,
     rng: SmallRng,
@@ -228,6 +230,51 @@
     config
 }
 
+/// Writes the platform's lists of hosts and leafs, and the catalogs.
+fn lists(store: &Store, hosts: &[Host]) {
+    let live = hosts.iter().map(|h| (h.name.clone(), host::State::Live));
+    let live = Hosts {
+        hosts: live.collect(),
+    };
+    store.put(record::HOSTS, &serde_json::to_vec(&live).unwrap());
+    // The list has to stay below the platform's limit of 1 MB.
+    let count = (hosts.len() * 4).clamp(107, 6000);
+    let leafs = (0..count).map(|i| leaf::Leaf {
+        name: format_smolstr!("leaf-{i:04}"),
+        addr: SocketAddr::from(([10, 1, (i / 250) as u8, (i % 250) as u8], 9000)),
+        domain: format_smolstr!("domain-{}", i % 8),
+        service: catalog::Service {
+            collection: SmolStr::new("blade-profile-registry"),
+            index: (i / 2) as u16,
+        },
+        state: host::State::Live,
+    });
+    let leafs = Leafs {
+        leafs: leafs.collect(),
+    };
+    store.put(record::LEAFS, &serde_json::to_vec(&leafs).unwrap());
+    for collection in preset::Preset::norway().collections {
+        let parts = (0..collection.services).map(|i| catalog::Part {
+            range: Range::new(u64::from(i) << 16, u64::from(i + 1) << 16),
+            records: 1000,
+            service: i,
+            leafs: vec![
+                format_smolstr!("leaf-{i:04}"),
+                format_smolstr!("leaf-1{i:03}"),
+            ],
+        });
+        let catalog = catalog::Catalog {
+            collection: collection.name.clone(),
+            versions: vec![catalog::Version {
+                snapshot: catalog::Snapshot(1),
+                parts: parts.collect(),
+            }],
+        };
+        let name = format!("{}{}", record::CATALOG, collection.name);
+        store.put(&name, &serde_json::to_vec(&catalog).unwrap());
+    }
+}
+
 impl Fleet {
     /// Returns a fleet of `count` hosts, none of which runs yet, and a platform with
     /// configuration 1.
@@ -236,6 +283,7 @@
         let store = Store::new(seed);
         let value = serde_json::to_vec(&config(&hosts, 1)).unwrap();
         store.put(record::CURRENT, &value);
+        lists(&store, &hosts);
         Self {
             net: Net::new(seed),
             store,
