Spend less on each part of a query at the root

Change: asks are shared with the pin until a part of them is found, accepted ranges are searched by bisection, and nothing is summed while nothing is lost.

--- a/crates/gather/src/ask.rs
+++ b/crates/gather/src/ask.rs
@@ -4,7 +4,7 @@
     hash::Map,
     host,
     outcome::Reason,
-    peer::{Peers, Subquery},
+    peer::{Ask, Peers, Subquery},
 };
 use tokio::time::Instant;
 
@@ -69,7 +69,7 @@
             config: view.config.version,
             collection: query.search.collection.clone(),
             snapshot: self.pin.snapshot,
-            asks: items.iter().map(|item| item.ask.clone()).collect(),
+            asks: items.iter().map(|item| Ask::clone(&item.ask)).collect(),
             text: query.text.clone(),
             rank: query.rank,
             priority: query.search.priority,
--- a/crates/gather/src/attempt.rs
+++ b/crates/gather/src/attempt.rs
@@ -91,6 +91,10 @@
     /// While no leaf is known to have begun, the open dispatchers get a short
     /// time to say that theirs did not begin either. Most refuse together.
     fn refused(&mut self, now: Instant) -> bool {
+        if self.lost.is_empty() {
+            self.doomed = None;
+            return false;
+        }
         let given_up = self.given_up();
         let least = self.run.query.search.least_coverage;
         if claim::reachable(&self.pin.parts, &given_up) >= least {
@@ -111,11 +115,9 @@
     /// Returns the keys that were given up and that no open message may still find.
     fn given_up(&self) -> Set {
         let mut lost = self.lost.clone();
-        if !lost.is_empty() {
-            let flights = self.open.open().map(|open| &open.kept);
-            let asked = flights.flat_map(|f| f.items.iter().flat_map(|i| &i.ask.ranges));
-            asked.for_each(|range| lost.remove(*range));
-        }
+        let flights = self.open.open().map(|open| &open.kept);
+        let asked = flights.flat_map(|f| f.items.iter().flat_map(|i| &i.ask.ranges));
+        asked.for_each(|range| lost.remove(*range));
         lost
     }
 
--- a/crates/gather/src/cover.rs
+++ b/crates/gather/src/cover.rs
@@ -36,7 +36,7 @@
         let sound = !part.range.is_empty()
             && part.range.end <= range::SPACE_END
             && asked.covers(part.range)
-            && !self.keys.overlaps(part.range)
+            && !self.overlaps(part.range)
             && rows <= part.records
             && part.rows.iter().all(|row| part.range.contains(row.key))
             && self.rows.len() + part.rows.len() <= self.limit;
@@ -49,6 +49,25 @@
         sound
     }
 
+    /// Returns the accepted ranges that end after `key`, in ascending order.
+    fn after(&self, key: u64) -> &[Range] {
+        let ranges = self.keys.ranges();
+        // A search in the sorted ranges: a query has hundreds of parts at full size.
+        &ranges[ranges.partition_point(|r| r.end <= key)..]
+    }
+
+    /// Tells whether any key of `range` was accepted.
+    fn overlaps(&self, range: Range) -> bool {
+        let next = self.after(range.start).first();
+        next.is_some_and(|r| r.start < range.end)
+    }
+
+    /// Tells whether all of `range` was accepted.
+    pub fn covers(&self, range: Range) -> bool {
+        let next = self.after(range.start).first();
+        range.is_empty() || next.is_some_and(|r| r.covers(range))
+    }
+
     /// Returns the accepted keys.
     pub const fn keys(&self) -> &Set {
         &self.keys
--- a/crates/gather/src/flight.rs
+++ b/crates/gather/src/flight.rs
@@ -1,5 +1,7 @@
 //! What is kept about ranges that were asked for.
 
+use std::sync::Arc;
+
 use rattanmast_model::{host, peer::Ask};
 use tokio::time::Instant;
 
@@ -8,7 +10,8 @@
 /// What is asked of a service, and what was tried for it.
 #[derive(Clone, Debug)]
 pub(crate) struct Item {
-    pub(crate) ask: Ask,
+    /// Shared with the pin until some of it is found.
+    pub(crate) ask: Arc<Ask>,
     /// Dispatchers that did not serve it.
     pub(crate) hosts: Vec<host::Name>,
     /// Services that did not hold it.
@@ -23,9 +26,9 @@
 
 impl Item {
     /// Returns the first item for `ask`.
-    pub(crate) fn new(ask: &Ask) -> Self {
+    pub(crate) fn new(ask: &Arc<Ask>) -> Self {
         Self {
-            ask: ask.clone(),
+            ask: Arc::clone(ask),
             hosts: Vec::new(),
             places: Vec::new(),
             moves: 0,
--- a/crates/gather/src/missed.rs
+++ b/crates/gather/src/missed.rs
@@ -1,13 +1,13 @@
 //! What is done about ranges that were not found.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rattanmast_model::{
     catalog::Snapshot,
     host,
     outcome::Reason,
     peer::{Cause, Peers},
-    range::Set,
+    range::{Range, Set},
 };
 use tokio::time::Instant;
 
@@ -120,7 +120,7 @@
         let missing = Set::of(item.ask.ranges.iter().copied());
         let (asks, rest) = place::elsewhere(catalog, self.pin.snapshot, missing, &item.places);
         asked.extend(asks.into_iter().map(|ask| Item {
-            ask,
+            ask: Arc::new(ask),
             moved: false,
             ..item.clone()
         }));
@@ -128,7 +128,7 @@
             return;
         }
         let mut item = item;
-        item.ask.ranges = rest.ranges().to_vec();
+        Arc::make_mut(&mut item.ask).ranges = rest.ranges().to_vec();
         item.moves += 1;
         let factor = 1u32 << item.moves.min(MOVES);
         let delay = shared.settings.move_delay * factor / 2;
@@ -160,16 +160,16 @@
 
     /// Returns `items` with only the ranges that are not accepted yet.
     pub(crate) fn missing(&self, items: Vec<Item>) -> Vec<Item> {
-        let keys = self.cover.keys();
-        let rest = items.into_iter().filter_map(|mut item| {
-            item.ask.ranges.retain(|range| !keys.covers(*range));
-            if item.ask.ranges.iter().any(|range| keys.overlaps(*range)) {
-                let missing = item.ask.ranges.iter().map(|range| keys.missing(*range));
-                item.ask.ranges = missing.flat_map(|set| set.ranges().to_vec()).collect();
-            }
-            (!item.ask.ranges.is_empty()).then_some(item)
-        });
-        rest.collect()
+        let found = |range: &Range| self.cover.covers(*range);
+        let rest = |range: &Range| self.cover.keys().missing(*range).ranges().to_vec();
+        let mut items = items;
+        items.retain(|item| !item.ask.ranges.iter().all(found));
+        for item in &mut items {
+            let ranges = item.ask.ranges.iter().filter(|range| !found(range));
+            let ranges = ranges.flat_map(rest).collect();
+            Arc::make_mut(&mut item.ask).ranges = ranges;
+        }
+        items
     }
 
     /// Returns a random delay for a retry, short against the time left.
--- a/crates/gather/src/pin.rs
+++ b/crates/gather/src/pin.rs
@@ -1,5 +1,7 @@
 //! Which snapshot a query reads.
 
+use std::sync::Arc;
+
 use rattanmast_model::{
     catalog::{Catalog, Part, Snapshot, Version},
     hash::Set as Names,
@@ -18,7 +20,7 @@
     /// Where its parts are, and how many records they hold.
     pub parts: Vec<Part>,
     /// What to ask of which service.
-    pub asks: Vec<Ask>,
+    pub asks: Vec<Arc<Ask>>,
     /// The records of all parts.
     pub records: u64,
     /// Whether `parts` describes this very snapshot.
@@ -31,7 +33,10 @@
         Self {
             snapshot,
             parts: version.parts.clone(),
-            asks: place::asks(&version.parts),
+            asks: place::asks(&version.parts)
+                .into_iter()
+                .map(Arc::new)
+                .collect(),
             records: version.records(),
             listed,
         }
