Test ranks, hedges and replies; keep the hedge budget

Cause: a property test found more hedges than 5%: a refused hedge put one back into the budget, since a dropped token was made on refusal too. Failures and slowness of a leaf were remembered for ever once it got no work, and a leaf that shed was driven to shed again after two replies.

Change: the token is made only if a hedge was taken; failures and latency fade with a half-life of 1 s; the limit grows slowly near the point of the last shed. Property tests run on fixed seeds. An order is checked after a pause.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -12,10 +12,15 @@
 /// Longest interval between requests to a failing leaf.
 const LONGEST: Duration = Duration::from_secs(2);
 
+/// The half-life of failures that no newer reply confirms: a leaf that gets no requests could
+/// not show otherwise that it works again.
+const STALE: f64 = 1.0;
+
 /// Recent failures of a leaf.
 #[derive(Debug)]
 pub(crate) struct Health {
     success: f64,
+    last: Option<Instant>,
     row: u32,
     interval: Duration,
     retry: Option<Instant>,
@@ -25,6 +30,7 @@
     pub(crate) fn new() -> Self {
         Self {
             success: 1.0,
+            last: None,
             row: 0,
             interval: FIRST,
             retry: None,
@@ -32,19 +38,25 @@
     }
 
     /// Returns the share of recent requests that succeeded.
-    pub(crate) fn success(&self) -> f64 {
-        self.success
+    pub(crate) fn success(&self, now: Instant) -> f64 {
+        let age = self
+            .last
+            .map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        1.0 - (1.0 - self.success) * (-age.as_secs_f64() / STALE).exp2()
     }
 
-    pub(crate) fn succeeded(&mut self) {
+    pub(crate) fn succeeded(&mut self, now: Instant) {
+        self.success = self.success(now);
         self.success += 0.1 * (1.0 - self.success);
+        self.last = Some(now);
         self.row = 0;
         self.interval = FIRST;
         self.retry = None;
     }
 
     pub(crate) fn failed(&mut self, now: Instant, rng: &mut SmallRng) {
-        self.success *= 0.8;
+        self.success = 0.8 * self.success(now);
+        self.last = Some(now);
         self.row += 1;
         if self.row >= ROW {
             self.wait(now, rng);
--- a/crates/dispatch/src/latency.rs
+++ b/crates/dispatch/src/latency.rs
@@ -89,6 +89,12 @@
     }
 }
 
+/// Returns the weight that knowledge from `last` still has.
+fn half_lives(last: Instant, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(last).as_secs_f64();
+    (-age / STALE).exp2()
+}
+
 /// What was learned of a leaf's latency.
 #[derive(Debug)]
 pub(crate) struct Latency {
@@ -109,12 +115,15 @@
     }
 
     /// Takes the time of a reply to a search of kind `rank`.
-    pub(crate) fn record(&mut self, rank: Rank, sample: Duration, now: Instant) {
+    pub(crate) fn record(&mut self, rank: Rank, sample: Duration, prior: f64, now: Instant) {
         self.at_least(rank, sample);
         let seconds = sample.as_secs_f64();
-        // A single straggler says little about the next request, so its influence is bounded.
-        let mean = self.mean.map_or(seconds, |mean| {
-            mean + 0.1 * (seconds.min(4.0 * mean) - mean)
+        // A single straggler says little about the next request, so its influence is bounded;
+        // after a long time without replies it is all that is known.
+        let weight = self.last.map_or(1.0, |last| 1.0 - half_lives(last, now));
+        let mean = self.mean.map_or(seconds, |_| {
+            let mean = self.expected(prior, now);
+            mean + weight.max(0.1) * (seconds.min(4.0 * mean) - mean)
         });
         self.mean = Some(mean);
         self.last = Some(now);
@@ -140,8 +149,7 @@
         let (Some(mean), Some(last)) = (self.mean, self.last) else {
             return prior;
         };
-        let age = now.saturating_duration_since(last).as_secs_f64();
-        prior + (mean - prior) * (-age / STALE).exp2()
+        prior + (mean - prior) * half_lives(last, now)
     }
 
     /// Returns the mean latency in seconds.
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -101,14 +101,15 @@
         state
             .lanes
             .charge(self.rank, time.as_secs_f64() - self.charged);
+        let prior = state.prior();
         let replica = &mut state.replicas[self.replica];
         replica.in_flight -= 1;
         match showed {
             Showed::Reply(load) => {
                 replica.heard(load, now);
-                replica.latency.record(self.rank, time, now);
+                replica.latency.record(self.rank, time, prior, now);
                 replica.limit.reply(time, self.in_flight);
-                replica.health.succeeded();
+                replica.health.succeeded(now);
                 replica.progress(sent);
             }
             Showed::Shed(load) => {
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -47,6 +47,8 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// Replies at each step of the growth from a cold start, for each request in flight.
 const STEP: f64 = 8.0;
+/// Replies at each step near a limit at which the leaf shed, for each request in flight.
+const WARY: f64 = 64.0;
 
 /// A limit that follows the latency gradient, sheds and failures.
 #[derive(Debug)]
@@ -56,6 +58,8 @@
     short: f64,
     reference: f64,
     reduced: Option<Instant>,
+    /// The limit at which the leaf shed last.
+    shed: f64,
 }
 
 impl Gradient {
@@ -80,6 +84,7 @@
             short: 0.0,
             reference: 0.0,
             reduced: None,
+            shed: f64::INFINITY,
         }
     }
 
@@ -116,12 +121,24 @@
             self.limit = (self.limit * 0.98).max(1.0);
         } else if ratio < CALM && saturated {
             let slots = f64::from(self.bounds.slots);
-            let replies = if self.limit < slots { STEP } else { 1.0 };
+            let replies = if self.limit + 1.0 >= self.shed {
+                WARY
+            } else if self.limit < slots {
+                STEP
+            } else {
+                1.0
+            };
             self.limit = (self.limit + 1.0 / (replies * self.limit)).min(self.cap());
+            if self.limit > self.shed {
+                self.shed = f64::INFINITY;
+            }
         }
     }
 
     fn shed(&mut self, now: Instant) {
+        if self.reduced.is_none_or(|at| now >= at + PAUSE) {
+            self.shed = self.limit;
+        }
         self.reduce(0.7, now);
     }
 
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -79,7 +79,8 @@
             let rate = (1.0 - urgent - owed).clamp(0.02, 1.0);
             let ahead: f64 = work[..=r].iter().sum();
             let ranked = ahead / rate;
-            let by_floor = work[r] / floors[r].max(1e-6);
+            // The floor lets it in after the time of what is before it and of one request.
+            let by_floor = (work[r] + self.costs[r]) / floors[r].max(1e-6);
             Duration::from_secs_f64((ranked.min(by_floor) / capacity).min(3600.0))
         })
     }
--- a/crates/dispatch/src/search.rs
+++ b/crates/dispatch/src/search.rs
@@ -287,9 +287,12 @@
 
 impl<'a, C: Connector, P: Policy> Token<'a, C, P> {
     fn take(service: &'a Service<C, P>, rank: Rank) -> Option<Self> {
-        let spent = false;
         let taken = service.lock().hedge.spend(rank);
-        taken.then_some(Self { service, spent })
+        // Made only if taken: dropping one puts a hedge back.
+        taken.then(|| Self {
+            service,
+            spent: false,
+        })
     }
 
     fn spend(mut self) {
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -276,13 +276,13 @@
                 in_flight: r.in_flight,
                 limit,
                 latency: r.latency.expected(prior, now),
-                success: r.health.success(),
+                success: r.health.success(now),
             })
         })
     }
 
     /// Returns the least learned mean latency of the leafs, in seconds.
-    fn prior(&self) -> f64 {
+    pub(crate) fn prior(&self) -> f64 {
         let means = self.replicas.iter().filter_map(|r| r.latency.mean());
         means.min_by(f64::total_cmp).unwrap_or(1e-3)
     }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -6,8 +6,15 @@
     reason = "each test binary uses a part"
 )]
 
+pub mod stub;
+
 use std::{sync::Arc, time::Duration};
 
+use bolero::{
+    Driver as _, TypeGenerator,
+    generator::bolero_generator::driver::{self, Options},
+};
+use rand::{SeedableRng as _, rngs::SmallRng};
 use rattanmast_dispatch::{Dispatcher, Settings, Wall, policy::Policy};
 use rattanmast_fakes::{
     memory::{Connector, Data, Fleet},
@@ -197,3 +204,34 @@
     times.sort_unstable();
     times[((times.len() - 1) as f64 * q) as usize]
 }
+
+/// Runs `check` on arbitrary values from fixed seeds; bolero's own engine draws new ones each run.
+pub fn each_case<T: TypeGenerator>(cases: u64, check: impl Fn(T)) {
+    for seed in 0..cases {
+        let _seed = Seed(seed);
+        let options = Options::default().with_max_len(1_024);
+        let value = driver::Rng::new(SmallRng::seed_from_u64(seed), &options).produce();
+        check(value.expect("a generator of any value yields one"));
+    }
+}
+
+/// Runs `check` like [`each_case`], each time on a paused clock of its own.
+pub fn each_paused_case<T: TypeGenerator>(cases: u64, check: impl AsyncFn(T)) {
+    each_case(cases, |value| {
+        let runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = { runtime }.enable_time().start_paused(true).build();
+        let runtime = runtime.expect("a runtime without sockets starts");
+        runtime.block_on(check(value));
+    });
+}
+
+/// Names the seed of a case that panics.
+struct Seed(u64);
+
+impl Drop for Seed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("case with seed {} failed", self.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/common/stub.rs
@@ -0,0 +1,101 @@
+//! A leaf that answers what a test tells it to.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use rattanmast_dispatch::{Dispatcher, Settings, policy::Adaptive};
+use rattanmast_model::{
+    leaf::{self, Done, Found, Order, Search},
+    request,
+};
+use tokio::time::sleep;
+
+use super::{Bench, RUN};
+
+type Answer = dyn Fn(&Search) -> leaf::Result<Found> + Send + Sync;
+
+/// Opens connections to leafs that all answer alike.
+#[derive(Clone)]
+pub struct Connector {
+    /// Time that a request takes.
+    pub time: Duration,
+    pub answer: Arc<Answer>,
+    /// Orders that began.
+    pub orders: Arc<AtomicU32>,
+    /// Connections opened, and those of them closed.
+    pub opened: Arc<AtomicU32>,
+    pub closed: Arc<AtomicU32>,
+}
+
+impl Connector {
+    pub fn new(
+        time: Duration,
+        answer: impl Fn(&Search) -> leaf::Result<Found> + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            time,
+            answer: Arc::new(answer),
+            orders: Arc::default(),
+            opened: Arc::default(),
+            closed: Arc::default(),
+        }
+    }
+
+    /// Returns the dispatcher of the first candidate of `bench` in front of these leafs.
+    pub async fn dispatcher(&self, bench: &Bench) -> Dispatcher<Self, Adaptive> {
+        let name = bench.candidates[0].name.clone();
+        let settings: Settings = bench.settings.clone();
+        let dispatcher = Dispatcher::new(name, RUN, self.clone(), settings, 1);
+        let leafs = Arc::new(bench.data.leafs.clone());
+        dispatcher.apply(Arc::clone(&bench.config), leafs);
+        sleep(Duration::from_millis(50)).await;
+        dispatcher
+    }
+}
+
+impl leaf::Connector for Connector {
+    type Link = Link;
+
+    async fn open(&self, _leaf: &leaf::Leaf) -> leaf::Result<Link> {
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        Ok(Link(self.clone()))
+    }
+}
+
+pub struct Link(Connector);
+
+impl leaf::Link for Link {
+    async fn search(&mut self, search: &Search) -> leaf::Result<Found> {
+        sleep(self.0.time).await;
+        (self.0.answer)(search)
+    }
+
+    async fn order(&mut self, order: &Order) -> leaf::Result<Done> {
+        self.0.orders.fetch_add(1, Ordering::Relaxed);
+        sleep(self.0.time).await;
+        Ok(Done {
+            id: order.id,
+            result: order.action.clone(),
+            load: leaf::Load::default(),
+        })
+    }
+
+    async fn cancel(&mut self, _id: request::Id) -> leaf::Result<()> {
+        Ok(())
+    }
+
+    async fn close(self, _wait: Duration) -> bool {
+        true
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.0.closed.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/hedges.rs
@@ -0,0 +1,156 @@
+//! Hedges: on evidence, within a budget, and not when slowness is load.
+
+mod common;
+
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use common::{Bench, each_case, each_paused_case, quantile, whole};
+use rattanmast_dispatch::{
+    Dispatcher,
+    hedge::{Evidence, Hedge as _, SHARE},
+    policy::{Adaptive, Plain, Policy},
+};
+use rattanmast_fakes::{memory::Connector, model};
+use rattanmast_model::rank::Rank;
+
+const TIME: Duration = Duration::from_secs(20);
+
+/// Returns the 99th percentile of urgent searches at 63% load, with a share of stragglers.
+async fn p99<P: Policy>(slow_share: f64, seed: u64) -> (Duration, Dispatcher<Connector, P>) {
+    let bench = Bench::new(2, model::Settings::default(), seed);
+    for leaf in [0, 1] {
+        let faults = model::Faults {
+            slow_share,
+            ..Default::default()
+        };
+        bench.leaf(leaf).set_faults(faults);
+    }
+    let dispatcher = bench.with_policy(0, seed).await;
+    let replies = bench.load(&dispatcher, Rank::Urgent, 600.0, TIME).await;
+    assert!(replies.iter().all(|(r, _)| whole(r)));
+    (quantile(&replies, 0.99), dispatcher)
+}
+
+/// Guards against stragglers that decide the tail, and against extra load above 5%.
+#[tokio::test(start_paused = true)]
+async fn stragglers_are_hedged_within_the_budget() {
+    let mut ratios = Vec::new();
+    for seed in 0..5 {
+        let (plain, _) = p99::<Plain>(0.02, seed).await;
+        let (hedged, dispatcher) = p99::<Adaptive>(0.02, seed).await;
+        let stats = dispatcher.stats();
+        assert!(stats.hedges > 0 && stats.hedges * 20 <= stats.sent - stats.hedges);
+        ratios.push(hedged.as_secs_f64() / plain.as_secs_f64());
+    }
+    ratios.sort_by(f64::total_cmp);
+    assert!(ratios[2] <= 1.0 / 3.0, "{ratios:?}");
+}
+
+/// Guards against losers that go on working at the leaf.
+#[tokio::test(start_paused = true)]
+async fn losers_are_cancelled_at_the_leaf() {
+    let bench = Bench::new(2, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    bench
+        .load(&dispatcher, Rank::Urgent, 200.0, Duration::from_secs(2))
+        .await;
+    let faults = model::Faults {
+        factor: 1_000.0,
+        ..Default::default()
+    };
+    bench.leaf(0).set_faults(faults);
+    bench
+        .load(&dispatcher, Rank::Urgent, 200.0, Duration::from_secs(1))
+        .await;
+    let cancelled = bench.leaf(0).counters().cancelled;
+    assert!(cancelled > 0 && dispatcher.stats().hedges > 0);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(dispatcher.stats().in_flight, 0);
+}
+
+/// Guards against a sub-query that is given up while its work goes on at the leafs.
+#[tokio::test(start_paused = true)]
+async fn dropping_a_subquery_cancels_its_work() {
+    let bench = Bench::new(1, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    let factor = 1_000.0;
+    bench.leaf(0).set_faults(model::Faults {
+        factor,
+        ..Default::default()
+    });
+    let message = bench.subquery(Rank::Urgent, 5_000);
+    let search = dispatcher.subquery(message);
+    let given_up = tokio::time::timeout(Duration::from_millis(50), search).await;
+    assert!(given_up.is_err());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(bench.leaf(0).counters().cancelled, 1);
+    assert_eq!(dispatcher.stats().in_flight, 0);
+}
+
+/// Guards against hedges that add load to leafs that are slow because of load.
+#[tokio::test(start_paused = true)]
+async fn overload_is_not_hedged() {
+    let bench = Bench::new(2, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    bench.load(&dispatcher, Rank::Urgent, 600.0, TIME / 4).await;
+    let before = dispatcher.stats();
+    bench
+        .load(&dispatcher, Rank::Urgent, 3_000.0, TIME / 4)
+        .await;
+    let after = dispatcher.stats();
+    let (hedges, sent) = (after.hedges - before.hedges, after.sent - before.sent);
+    assert!(hedges * 100 <= sent, "{hedges} hedges of {sent} requests");
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+struct Fault {
+    leaf: bool,
+    slow: u8,
+    lossy: u8,
+    fails: bool,
+    rate: u8,
+}
+
+/// Guards against a budget that is exceeded under some combination of load and faults.
+#[test]
+fn the_budget_holds_under_all_conditions() {
+    each_paused_case(20, async |faults: Vec<Fault>| {
+        let bench = Bench::new(2, model::Settings::default(), 1);
+        let dispatcher = bench.dispatcher(0).await;
+        for fault in faults.iter().take(8) {
+            let faults = model::Faults {
+                factor: f64::from(fault.slow % 32 + 1),
+                lose_reply: f64::from(fault.lossy) / 512.0,
+                fail_fast: fault.fails && fault.slow % 2 == 0,
+                ..Default::default()
+            };
+            bench.leaf(fault.leaf.into()).set_faults(faults);
+            let (rate, time) = (f64::from(fault.rate) * 4.0, Duration::from_millis(300));
+            bench.load(&dispatcher, Rank::Urgent, rate, time).await;
+            let stats = dispatcher.stats();
+            let first = stats.sent - stats.hedges - stats.repeats;
+            assert!(stats.hedges * 20 <= first, "{stats:?}");
+        }
+    });
+}
+
+/// Guards against a budget that pays out more than it earned, for any use of it.
+#[test]
+fn the_budget_pays_out_what_it_earned() {
+    each_case(1_000, |uses: Vec<(bool, u8)>| {
+        let (mut budget, mut earned, mut spent) = (Evidence::new(), 0.0, 0.0);
+        for (earn, rank) in uses {
+            let rank = Rank::ALL[usize::from(rank % 3)];
+            match earn {
+                true => {
+                    budget.earn();
+                    earned += SHARE;
+                }
+                false if budget.spend(rank) => spent += 1.0,
+                false => {}
+            }
+            assert!(spent <= earned + 1e-9);
+        }
+    });
+}
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -2,15 +2,17 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
-use common::Bench;
+use common::{Bench, stub::Connector};
 use rattanmast_fakes::model;
 use rattanmast_model::{
     host::Incarnation,
+    leaf,
     outcome::{Outcome, Reason},
     rank::Rank,
 };
+use smol_str::SmolStr;
 use tokio::{task::JoinSet, time::sleep};
 
 /// Returns how often the order with `key` ran.
@@ -84,6 +86,31 @@
     assert_eq!(runs(&bench, "a"), 0);
 }
 
+/// Guards against a send after a pause of the process in which the right to send expired.
+#[tokio::test(start_paused = true)]
+async fn an_order_is_not_sent_after_a_pause() {
+    let bench = Bench::new(1, model::Settings::default(), 1);
+    let connector = Connector::new(Duration::from_millis(50), |_| {
+        let why = SmolStr::new_static("not asked");
+        Err(leaf::Error::Failed { why })
+    });
+    let dispatcher = connector.dispatcher(&bench).await;
+    for _ in 0..3 {
+        let (d, m) = (dispatcher.clone(), bench.subquery(Rank::Urgent, 5_000));
+        tokio::spawn(async move { d.subquery(m).await });
+    }
+    sleep(Duration::from_millis(10)).await;
+    let (d, mut message) = (dispatcher.clone(), bench.order("a"));
+    message.not_after_ms = bench.settings.wall.now_ms() + 100;
+    let order = tokio::spawn(async move { d.order(message).await });
+    sleep(Duration::from_millis(10)).await;
+    // The leafs answer and the right expires at once, as a process sees it after a pause.
+    tokio::time::advance(Duration::from_secs(1)).await;
+    let outcome = order.await.expect("the task does not panic");
+    assert_eq!(reason(&outcome), Some(Reason::Late));
+    assert_eq!(connector.orders.load(Ordering::Relaxed), 0);
+}
+
 /// Guards against an order that is cut off, or sent again, when its caller gives up.
 #[tokio::test(start_paused = true)]
 async fn an_order_that_was_sent_runs_to_its_end() {
--- a/crates/dispatch/tests/pool.rs
+++ b/crates/dispatch/tests/pool.rs
@@ -4,8 +4,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bolero::check;
-use common::{Bench, whole};
+use common::{Bench, each_paused_case, whole};
 use rattanmast_dispatch::Dispatcher;
 use rattanmast_fakes::{memory::Connector, model};
 use rattanmast_model::{host::State, peer::Cause, rank::Rank, roster};
@@ -159,21 +158,12 @@
 /// Guards against more connections than the share, whatever happens to leafs and configuration.
 #[test]
 fn the_share_is_never_exceeded() {
-    let steps = bolero::generator::produce::<Vec<Step>>();
-    check!()
-        .with_generator(steps)
-        .with_iterations(150)
-        .for_each(|steps| {
-            let runtime = tokio::runtime::Builder::new_current_thread()
-                .enable_time()
-                .start_paused(true)
-                .build()
-                .expect("a runtime without sockets starts");
-            let bench = runtime.block_on(run(steps));
-            assert_eq!(roster::share(9, 25), SHARE);
-            for leaf in [0, 1] {
-                let most = bench.leaf(leaf).counters().most_connections;
-                assert!(most <= SHARE, "leaf {leaf} saw {most} connections");
-            }
-        });
+    assert_eq!(roster::share(9, 25), SHARE);
+    each_paused_case(150, async |steps: Vec<Step>| {
+        let bench = run(&steps).await;
+        for leaf in [0, 1] {
+            let most = bench.leaf(leaf).counters().most_connections;
+            assert!(most <= SHARE, "leaf {leaf} saw {most} connections");
+        }
+    });
 }
