Wait for a good leaf rather than use a far slower one

Cause: a leaf ten times slower than the other kept half of its work, because it was used whenever the other one was full, and its rare replies moved what was learned of it by a tenth only.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng as _, rngs::SmallRng};
 
-/// A replica that could take a request now.
+/// A replica that could take a request, now or when it has finished another.
 #[derive(Clone, Copy, Debug)]
 pub struct View {
     /// The replica's position in its service.
@@ -13,6 +13,10 @@
     pub limit: u32,
     /// Its expected latency, in seconds.
     pub latency: f64,
+    /// Requests that wait for a replica.
+    pub waiting: u32,
+    /// Whether it could take a request now.
+    pub free: bool,
     /// The share of its recent replies that were not failures, from 0 to 1.
     pub success: f64,
 }
@@ -21,7 +25,7 @@
 pub trait Choice: Send + 'static {
     /// Returns the rule for one service.
     fn new() -> Self;
-    /// Returns the position of one of `views`.
+    /// Returns the position of a free one of `views`; `None` if it is better to wait.
     fn choose(
         &mut self,
         rng: &mut SmallRng,
@@ -29,6 +33,9 @@
     ) -> Option<usize>;
 }
 
+/// How much worse a free replica may be than waiting for a better one.
+const WORSE: f64 = 2.0;
+
 /// The replica with the least expected latency, given its queue and its failures.
 #[derive(Debug)]
 pub struct Learned;
@@ -36,7 +43,8 @@
 impl Learned {
     /// Returns the expected time to a good reply, slightly varied so that equals take turns.
     fn score(view: &View, rng: &mut SmallRng) -> f64 {
-        let load = f64::from(view.in_flight) / f64::from(view.limit.max(1));
+        let queue = view.in_flight + if view.free { 0 } else { view.waiting };
+        let load = f64::from(queue) / f64::from(view.limit.max(1));
         // A failure costs another try, so a fast failure must not look like a fast reply.
         let success = view.success.max(0.01);
         view.latency * (1.0 + load) / (success * success) * rng.random_range(0.95..1.05)
@@ -53,9 +61,17 @@
         rng: &mut SmallRng,
         views: impl Iterator<Item = View> + Clone,
     ) -> Option<usize> {
-        let scored = views.map(|v| (Self::score(&v, rng), v.index));
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, index)| index)
+        let (mut best, mut later) = (None, f64::INFINITY);
+        for view in views {
+            let score = Self::score(&view, rng);
+            match best {
+                _ if !view.free => later = later.min(score),
+                Some((least, _)) if least <= score => {}
+                _ => best = Some((score, view.index)),
+            }
+        }
+        let (score, index) = best?;
+        (score <= WORSE * later).then_some(index)
     }
 }
 
@@ -71,8 +87,9 @@
     fn choose(
         &mut self,
         rng: &mut SmallRng,
-        mut views: impl Iterator<Item = View> + Clone,
+        views: impl Iterator<Item = View> + Clone,
     ) -> Option<usize> {
+        let mut views = views.filter(|v| v.free);
         let count = views.clone().count();
         let chosen = if count < 2 {
             0
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -1,6 +1,6 @@
 //! The waiting requests of one service.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Bound};
 
 use rattanmast_model::rank::Rank;
 use tokio::time::Instant;
@@ -61,9 +61,11 @@
         lanes.into_iter().flat_map(BTreeMap::into_values)
     }
 
-    /// Returns the requests of `lane` in order.
-    pub(crate) fn lane(&self, lane: usize) -> impl Iterator<Item = (Key, &Entry<T>)> {
-        self.lanes[lane].iter().map(|(k, e)| (*k, e))
+    /// Returns the first request of `lane` after `key`, and the replicas that may take it.
+    pub(crate) fn after(&self, lane: usize, key: Option<Key>) -> Option<(Key, u64)> {
+        let from = key.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = self.lanes[lane].range((from, Bound::Unbounded));
+        rest.next().map(|(key, entry)| (*key, entry.eligible))
     }
 
     /// Returns how many requests of each rank wait.
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -225,7 +225,8 @@
         let (lane, by) = state.lanes.place(rank, now, deadline);
         if state.queue.is_empty() {
             let owed = state.lanes.order().contains(&(lane, true));
-            if let Some(taken) = state.take(rank, lane, owed, eligible, now) {
+            let index = state.choose(lane, owed, eligible, now);
+            if let Some(taken) = index.and_then(|index| state.take(rank, index)) {
                 return Ok(Entered::Now(Lease::new(self, rank, taken)));
             }
         }
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -20,7 +20,7 @@
     limit::{Bounds, Limit as _},
     load::Load,
     policy::Policy,
-    queue::{Entry, Key, Queue},
+    queue::Queue,
     replica::Replica,
 };
 
@@ -238,15 +238,17 @@
             return None;
         }
         for (lane, owed) in self.lanes.order() {
-            let fits = |(_, e): &(Key, &Entry<_>)| self.is_free(lane, owed, e.eligible, now);
-            let key = self
-                .queue
-                .lane(lane)
-                .take(SCAN)
-                .find(fits)
-                .map(|(key, _)| key);
-            if let Some(entry) = key.and_then(|key| self.queue.remove(key)) {
-                let taken = self.take(entry.rank, lane, owed, entry.eligible, now)?;
+            let mut after = None;
+            for _ in 0..SCAN {
+                let Some((key, eligible)) = self.queue.after(lane, after) else {
+                    break;
+                };
+                after = Some(key);
+                let Some(index) = self.choose(lane, owed, eligible, now) else {
+                    continue;
+                };
+                let entry = self.queue.remove(key)?;
+                let taken = self.take(entry.rank, index)?;
                 return Some(Next {
                     reply: entry.reply,
                     rank: entry.rank,
@@ -257,54 +259,45 @@
         None
     }
 
-    fn views(
-        &self,
+    /// Returns the least learned mean latency of the leafs, in seconds.
+    pub(crate) fn prior(&self) -> f64 {
+        let means = self.replicas.iter().filter_map(|r| r.latency.mean());
+        means.min_by(f64::total_cmp).unwrap_or(1e-3)
+    }
+
+    /// Chooses the leaf for a request from `lane`; `None` if it has to wait.
+    pub(crate) fn choose(
+        &mut self,
         lane: usize,
         owed: bool,
         eligible: u64,
         now: Instant,
-    ) -> impl Iterator<Item = View> + Clone {
-        let slots = self.role.limits.slots;
-        let prior = self.prior();
-        let replicas = self.replicas.iter().enumerate();
-        replicas.filter_map(move |(index, r)| {
+    ) -> Option<usize> {
+        let (slots, waiting, prior) = (self.role.limits.slots, self.queue.len(), self.prior());
+        let lanes = &self.lanes;
+        let views = self.replicas.iter().enumerate().filter_map(|(index, r)| {
             let limit = r.allowed(now);
-            let cap = self.lanes.cap(lane, owed, limit, slots);
-            let free = eligible >> index & 1 == 1 && r.in_flight < cap && r.pool.has_idle();
-            free.then(|| View {
+            if eligible >> index & 1 == 0 || limit == 0 {
+                return None;
+            }
+            let full = r.in_flight >= lanes.cap(lane, owed, limit, slots);
+            // A leaf without a connection may turn out to be unreachable: no reason to wait.
+            (full || r.pool.has_idle()).then(|| View {
                 index,
                 in_flight: r.in_flight,
                 limit,
                 latency: r.latency.expected(prior, now),
+                waiting,
+                free: !full,
                 success: r.health.success(now),
             })
-        })
-    }
-
-    /// Returns the least learned mean latency of the leafs, in seconds.
-    pub(crate) fn prior(&self) -> f64 {
-        let means = self.replicas.iter().filter_map(|r| r.latency.mean());
-        means.min_by(f64::total_cmp).unwrap_or(1e-3)
-    }
-
-    pub(crate) fn is_free(&self, lane: usize, owed: bool, eligible: u64, now: Instant) -> bool {
-        self.views(lane, owed, eligible, now).next().is_some()
+        });
+        self.choice.choose(&mut self.rng, views)
     }
 
-    pub(crate) fn take(
-        &mut self,
-        rank: Rank,
-        lane: usize,
-        owed: bool,
-        eligible: u64,
-        now: Instant,
-    ) -> Option<Taken<C::Link>> {
-        let mut choice = std::mem::replace(&mut self.choice, P::Choice::new());
-        let mut rng = self.rng.clone();
-        let chosen = choice.choose(&mut rng, self.views(lane, owed, eligible, now));
-        (self.choice, self.rng) = (choice, rng);
+    /// Takes a connection to replica `index` for a request.
+    pub(crate) fn take(&mut self, rank: Rank, index: usize) -> Option<Taken<C::Link>> {
         let charged = self.load.cost(rank).as_secs_f64();
-        let index = chosen?;
         let replica = &mut self.replicas[index];
         let link = replica.pool.take()?;
         replica.in_flight += 1;
