Check that the harness can report a miss

Cause: a check that cannot fail shows nothing; the counters of stats_alloc are shared by all threads and slow the runs down.

--- a/crates/measure/src/cli.rs
+++ b/crates/measure/src/cli.rs
@@ -45,6 +45,9 @@
         display_fallback
     )]
     pub regions: u64,
+    /// Let searches wait for the whole answer, where Norway puts time first
+    #[bpaf(long, env("RATTANMAST_MEASURE_WHOLE"))]
+    pub whole: bool,
     /// Threads that runs are spread over
     #[bpaf(
         long,
@@ -83,6 +86,7 @@
             length: length.transpose()?,
             regions: small(regions),
             threads: small(threads),
+            whole: self.whole,
             swap: self.swap,
             json: self.json,
             plot: self.plot,
--- a/crates/measure/src/config.rs
+++ b/crates/measure/src/config.rs
@@ -41,6 +41,8 @@
     pub regions: usize,
     /// Threads that runs are spread over.
     pub threads: usize,
+    /// Lets searches wait for the whole answer.
+    pub whole: bool,
     /// Runs the baseline in place of the policy, to see that targets can be missed.
     pub swap: bool,
     /// Prints JSON in place of a table.
--- a/crates/measure/src/cost.rs
+++ b/crates/measure/src/cost.rs
@@ -21,8 +21,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use snafu::{ResultExt, Snafu};
-use stats_alloc::{INSTRUMENTED_SYSTEM, Region};
-use tokio::task::JoinSet;
+use tokio::{runtime::Runtime, task::JoinSet};
 
 use crate::{
     peers::{self, Memory},
@@ -90,12 +89,10 @@
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_time().build();
     let runtime = runtime.expect("a runtime without I/O needs no system resource");
-    runtime.block_on(async {
-        Ok(vec![
-            cost::<Present>(Kind::Policy).await?,
-            cost::<Plain>(Kind::Baseline).await?,
-        ])
-    })
+    Ok(vec![
+        cost::<Present>(&runtime, Kind::Policy)?,
+        cost::<Plain>(&runtime, Kind::Baseline)?,
+    ])
 }
 
 /// Returns `costs` as a table.
@@ -118,9 +115,9 @@
     text
 }
 
-async fn cost<S: System>(kind: Kind) -> std::result::Result<Cost, Failure> {
+fn cost<S: System>(runtime: &Runtime, kind: Kind) -> std::result::Result<Cost, Failure> {
     let data = Data::new(Preset::norway());
-    let roots = roots::<S>(&data);
+    let roots = runtime.block_on(async { roots::<S>(&data) });
     let config = data.config();
     let search = config.search(data.preset.searched);
     let search = search.expect("the configuration has a search of each collection");
@@ -131,10 +128,13 @@
         timeout: Duration::from_secs(2),
         trace: None,
     };
-    ask::<S>(&roots, &query, QUERIES[0]).await;
-    let (cpu, region) = (cpu_ns()?, Region::new(&INSTRUMENTED_SYSTEM));
-    let (requests, complete) = ask::<S>(&roots, &query, QUERIES[1]).await;
-    let (cpu, change) = (cpu_ns()? - cpu, region.change());
+    runtime.block_on(ask::<S>(&roots, &query, QUERIES[0]));
+    let (mut requests, mut complete) = (0, 0);
+    let cpu = cpu_ns()?;
+    let memory = allocation_counter::measure(|| {
+        (requests, complete) = runtime.block_on(ask::<S>(&roots, &query, QUERIES[1]));
+    });
+    let cpu = cpu_ns()? - cpu;
     let each = |n: f64| n / requests.max(1) as f64;
     let cpu_us = each(cpu as f64 / 1_000.0);
     Ok(Cost {
@@ -142,8 +142,8 @@
         requests,
         complete: complete as f64 / QUERIES[1] as f64,
         cpu_us,
-        allocations: each((change.allocations + change.reallocations) as f64),
-        bytes: each(change.bytes_allocated as f64),
+        allocations: each(memory.count_total as f64),
+        bytes: each(memory.bytes_total as f64),
         cores: cpu_us * TWO_YEARS / 1_000_000.0,
     })
 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,13 +2,10 @@
 
 mod cli;
 
-use std::{alloc::System, time::Duration};
+use std::time::Duration;
 
 use rattanmast_measure::{cases, config::Config, cost, exit::Exit, harness, plot, table::Report};
-use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
-
-#[global_allocator]
-static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+use rattanmast_model::config::Priority;
 
 fn main() -> Exit {
     let options = match cli::options().run_inner(bpaf::Args::current_args()) {
@@ -49,6 +46,9 @@
     };
     for variant in &mut case.variants {
         variant.scenario.regions = config.regions;
+        if config.whole {
+            variant.scenario.priority = Priority::Coverage;
+        }
         if let Some(length) = config.length {
             variant.scenario.length = Duration::from_secs(length);
         }
--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -8,6 +8,7 @@
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use rattanmast_fakes::records;
 use rattanmast_model::{
+    config::Search,
     hash,
     query::{Answer, Query},
     rank::Rank,
@@ -67,7 +68,7 @@
 /// What the tasks of a run share.
 struct Shared<S: System> {
     roots: Vec<Root<S>>,
-    search: rattanmast_model::config::Search,
+    search: Search,
     scenario: Scenario,
     services: u64,
     begin: Instant,
@@ -93,7 +94,10 @@
             .iter()
             .map(|h| (h.root.clone(), h.peers.clone()))
             .collect(),
-        search: world.search(),
+        search: Search {
+            priority: scenario.priority,
+            ..world.search()
+        },
         scenario: scenario.clone(),
         services: collection.services.into(),
         begin: Instant::now() + scenario.warm,
--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rattanmast_fakes::behavior;
-use rattanmast_model::{leaf::Limits, rank::Rank};
+use rattanmast_model::{config::Priority, leaf::Limits, rank::Rank};
 
 /// Load, faults and lengths of one run.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,6 +22,8 @@
     pub warm: Duration,
     /// The measured time, by arrival of the query.
     pub length: Duration,
+    /// What searches put first; Norway's configuration says time.
+    pub priority: Priority,
     /// Regions that the failure domains are spread over.
     pub regions: usize,
 }
@@ -53,6 +55,7 @@
             event: None,
             warm: Duration::from_secs(5),
             length: Duration::from_secs(20),
+            priority: Priority::Time,
             regions: 1,
         }
     }
--- a/crates/measure/src/table.rs
+++ b/crates/measure/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use rattanmast_model::rank::Rank;
+use rattanmast_model::{config::Priority, rank::Rank};
 use serde::Serialize;
 
 use crate::{
@@ -40,6 +40,8 @@
     pub load: f64,
     /// The same with the time of slow replies.
     pub effective: f64,
+    /// Whether searches put coverage first.
+    pub whole: bool,
     /// The answers that an audit checked, over all seeds.
     pub checked: u64,
     /// The figures by rank, as `Rank::ALL`.
@@ -58,6 +60,7 @@
                 policies: variant.kind.name(),
                 load: scenario.total(),
                 effective: scenario.effective(),
+                whole: scenario.priority == Priority::Coverage,
                 checked: runs.iter().map(|s| s[index].findings.checked).sum(),
                 rows,
             }
@@ -125,6 +128,9 @@
         if self.effective > self.load {
             let _infallible = write!(text, " ({:.1}% with slow replies)", self.effective * 100.0);
         }
+        if self.whole {
+            text.push_str("; coverage first");
+        }
         if self.checked > 0 {
             let _infallible = write!(text, "; {} answers checked", self.checked);
         }
--- /dev/null
+++ b/crates/measure/tests/harness.rs
@@ -0,0 +1,100 @@
+//! Whether the harness tells the truth: repeatable figures, and checks that can fail.
+
+use std::time::Duration;
+
+use rattanmast_measure::{
+    case::Case,
+    cases, harness,
+    policy::Kind,
+    run,
+    scenario::{Event, Scenario},
+    table::Report,
+};
+use rattanmast_model::rank::Rank;
+
+fn short(name: &str) -> Case {
+    let found = cases::all().into_iter().find(|c| c.name == name);
+    let mut case = found.expect("the case exists");
+    for variant in &mut case.variants {
+        variant.scenario.warm = Duration::from_millis(500);
+        variant.scenario.length = Duration::from_secs(1);
+    }
+    case
+}
+
+fn report(case: &Case, seeds: &[u64], threads: usize) -> Report {
+    Report::new(case, seeds, &harness::run(case, seeds, threads))
+}
+
+/// Guards against figures that depend on threads, hash order or the machine.
+#[test]
+fn equal_seeds_give_equal_tables() {
+    let case = short("stragglers");
+    let first = report(&case, &[7], 1).text();
+    assert_eq!(first, report(&case, &[7], 3).text());
+    assert_ne!(first, report(&case, &[8], 1).text());
+}
+
+/// Guards against targets that are met whatever the policy does.
+#[test]
+fn a_plain_policy_misses_the_target() {
+    let case = short("stragglers").with(Kind::Baseline);
+    let report = report(&case, &[1], 2);
+    assert!(!report.verdicts[0].met, "{}", report.text());
+    assert!(!report.met());
+}
+
+/// Guards against floods that are no floods: the plain baseline loses its urgent work in one.
+#[test]
+fn a_flood_breaks_the_baseline() {
+    let case = short("intake-flood").with(Kind::Baseline);
+    let report = report(&case, &[1], 2);
+    assert!(!report.met(), "{}", report.text());
+}
+
+/// Guards against an audit that passes mixed snapshots and overclaimed coverage.
+#[test]
+fn forged_answers_are_found() {
+    let forged = Scenario {
+        event: Some(Event::Forge),
+        warm: Duration::from_millis(500),
+        length: Duration::from_secs(1),
+        ..Scenario::new(0.2)
+    };
+    let findings = run::run(&forged, Kind::Policy, 1).findings;
+    assert!(findings.checked > 0);
+    assert_eq!(findings.mixed, findings.checked);
+    assert_eq!(findings.overclaimed, findings.checked);
+}
+
+/// Guards against a figure that is not a number and passes for a target met.
+#[test]
+fn a_figure_that_is_no_number_is_a_miss() {
+    let mut case = short("intake-flood");
+    for variant in &mut case.variants {
+        variant.scenario.load = [0.0; 3];
+        variant.scenario.flood = None;
+    }
+    let report = report(&case, &[1], 2);
+    assert!(report.verdicts.iter().all(|v| !v.met), "{}", report.text());
+}
+
+/// Guards against loads that are not the stated share of the capacity.
+#[test]
+fn arrivals_match_the_load() {
+    let scenario = Scenario {
+        warm: Duration::from_millis(100),
+        length: Duration::from_secs(4),
+        ..Scenario::new(0.3)
+    };
+    let run = run::run(&scenario, Kind::Policy, 3);
+    for rank in Rank::ALL {
+        let expected = scenario.load[rank.index()] * run.capacity * 4.0;
+        let offered = run.rows[rank.index()].offered;
+        // Four standard deviations of a Poisson count.
+        assert!(
+            (offered - expected).abs() < 4.0 * expected.sqrt(),
+            "{offered} of {expected}"
+        );
+    }
+}
