Drive a planned stop through its phases, and answer what is left

Cause: a stop waited for drains only, and a second signal cut requests off without an answer. Change: module `stop` drives the state machine of crate `state`, counts all requests and hops in flight, and cancels a token when they are not waited for any more; such requests are answered as unknown. Connections that fail tell the membership at once. Orders take their seed from the system, so that a setting cannot make tickets guessable.

--- a/crates/host/src/api.rs
+++ b/crates/host/src/api.rs
@@ -12,6 +12,7 @@
     trace,
 };
 use rattanmast_order::{Orders, Submit};
+use rattanmast_state::stop::Phase;
 use rattanmast_wire::{
     api,
     http::{self, Whole},
@@ -27,8 +28,8 @@
     metrics::Metrics,
     peers::Peers,
     problem::{self, Refusal, Result},
-    server::Phase,
     spans::{Span, Tracer},
+    stop::Signs,
 };
 
 /// The time to wait for an order if the caller names none, in milliseconds.
@@ -62,7 +63,7 @@
     /// What is in force.
     pub world: watch::Receiver<World>,
     /// How far a planned stop is.
-    pub phase: watch::Receiver<Phase>,
+    pub signs: Signs,
 }
 
 /// A request as it arrived.
@@ -95,7 +96,7 @@
 
     async fn apply(&self, arrived: Arrived) -> Result<Arrived> {
         match arrived.phase {
-            Phase::Draining => Err(Refusal::of(crate::local::stopping())),
+            Phase::Draining | Phase::Done => Err(Refusal::of(crate::local::stopping())),
             Phase::Ready | Phase::LameDuck if !arrived.world.serving => {
                 Err(Refusal::of(Outcome::NotRun {
                     reason: Reason::Stale,
@@ -244,6 +245,7 @@
 impl Api {
     /// Answers a request to a path below `/v1/`.
     pub async fn answer(&self, request: Request<Incoming>) -> Response<Whole> {
+        let _in_flight = self.signs.flight.enter();
         let path = request.uri().path().to_owned();
         let mut segments = path.trim_start_matches("/v1/").splitn(2, '/');
         let (kind, name) = (segments.next().unwrap_or(""), segments.next().unwrap_or(""));
@@ -264,7 +266,7 @@
         Arrived {
             request,
             world: self.world.borrow().clone(),
-            phase: *self.phase.borrow(),
+            phase: *self.signs.phase.borrow(),
         }
     }
 
@@ -283,7 +285,10 @@
         let mut query = chain.apply(self.arrived(request)).await?;
         query.trace = Some(span.context());
         let rank = query.rank;
-        let result = self.gatherer.query(query).await;
+        let result = tokio::select! {
+            result = self.gatherer.query(query) => result,
+            () = self.signs.forced.cancelled() => Err(forced("ask again through the balancer")),
+        };
         let took = started.elapsed();
         let outcome = result.as_ref().map_or_else(Outcome::name, |_| "done");
         span.note("outcome", outcome);
@@ -311,11 +316,13 @@
         // A task of its own settles the order even if the caller hangs up.
         let orders = self.orders.clone();
         let task = tokio::spawn(async move { orders.submit(submit).await });
-        let outcome = task.await.unwrap_or_else(|error| {
-            log::error!("an order's task ended early: {error}");
-            let remedy = "ask for the outcome by its key; see this host's log".into();
-            Outcome::Unknown { remedy }
-        });
+        let outcome = tokio::select! {
+            outcome = task => outcome.unwrap_or_else(|error| {
+                log::error!("an order's task ended early: {error}");
+                forced("ask for the outcome by its key; see this host's log")
+            }),
+            () = self.signs.forced.cancelled() => forced("ask for the outcome by its key"),
+        };
         span.note("outcome", outcome.name());
         let took = started.elapsed();
         self.metrics.answered("order", rank, outcome.name(), took);
@@ -343,6 +350,13 @@
     }
 }
 
+/// Returns the outcome of a request that is not waited for any more.
+fn forced(remedy: &'static str) -> Outcome {
+    Outcome::Unknown {
+        remedy: remedy.into(),
+    }
+}
+
 /// Returns the answer for what became of an order.
 fn settled(outcome: Outcome) -> Result<Response<Whole>> {
     match outcome {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -1,12 +1,17 @@
 //! A running host: its listeners, roles and controllers.
 
-use std::{future::Future, io, net::SocketAddr, time::Duration};
+use std::{
+    future::{self, Future},
+    io,
+    net::SocketAddr,
+    time::Duration,
+};
 
 use rattanmast_dispatch::Dispatcher;
 use rattanmast_gather::Gatherer;
 use rattanmast_model::host::{self, Incarnation};
 use rattanmast_order::Orders;
-use rattanmast_state::node::Node;
+use rattanmast_state::{node::Node, stop::Limits};
 use rattanmast_wire::{exchange, hop::proto::hop_server::HopServer, leaf, store};
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -28,8 +33,9 @@
     metrics::Metrics,
     peers::Peers,
     scrape::Scrape,
-    server::{self, Phase, Service},
+    server::{self, Service},
     spans::{self, Connector, Tracer},
+    stop::{self, Driver, Flight, Signs},
 };
 
 /// A result of this module.
@@ -100,10 +106,8 @@
 pub struct Host {
     config: Config,
     node: Node<store::Client, exchange::Client>,
-    roles: Roles,
-    gatherer: Gatherer<Peers>,
     tracer: Tracer,
-    phase: watch::Sender<Phase>,
+    driver: Driver,
     world: watch::Receiver<World>,
     /// Ends the servers; what is in hand is finished.
     closing: CancellationToken,
@@ -135,55 +139,26 @@
         );
         let (calls, inbox) = local::queue();
         let peers = Peers::new(me.clone(), node.clone(), calls);
-        let connector = Connector::new(leaf::Connector, tracer.clone());
-        let roles = Roles {
-            dispatcher: Dispatcher::new(
-                me.clone(),
-                incarnation,
-                connector,
-                Default::default(),
-                seed,
-            ),
-            orders: Orders::new(
-                me.clone(),
-                incarnation,
-                platform,
-                peers.clone(),
-                Default::default(),
-                seed,
-            ),
-            tracer: tracer.clone(),
-        };
-        let gatherer = Gatherer::new(me, incarnation, peers.clone(), Default::default(), seed);
-        let (phase, phases) = watch::channel(Phase::Ready);
+        let (driver, signs) = stop::signs();
+        let flight = signs.flight.clone();
+        let roles = roles(&config, incarnation, platform, &peers, &tracer, flight);
+        let gatherer = Gatherer::new(
+            me.clone(),
+            incarnation,
+            peers.clone(),
+            Default::default(),
+            seed,
+        );
         let (worlds, world) = watch::channel(World::default());
-        let metrics = Metrics::default();
-        let api = Api {
-            gatherer: gatherer.clone(),
-            orders: roles.orders.clone(),
-            tracer: tracer.clone(),
-            metrics: metrics.clone(),
-            world: world.clone(),
-            phase: phases,
-        };
-        let (closing, ending) = (CancellationToken::new(), CancellationToken::new());
-        let service = Service {
-            api,
-            node: node.clone(),
-            scrape: Scrape {
-                metrics,
-                roles: roles.clone(),
-                gatherer: gatherer.clone(),
-                node: node.clone(),
-            },
-        };
+        let service = service(&roles, &gatherer, &node, &world, signs);
         let follow = controllers::Follow {
             node: node.clone(),
             roles: roles.clone(),
-            gatherer: gatherer.clone(),
+            gatherer,
             peers,
             worlds,
         };
+        let (closing, ending) = (CancellationToken::new(), CancellationToken::new());
         let servers = vec![
             tokio::spawn(server::serve(listeners.http, service, closing.clone())),
             tokio::spawn(serve_hop(listeners.hop, roles.clone(), closing.clone())),
@@ -191,27 +166,16 @@
         let exchanges = exchange::serve(listeners.exchange, node.clone(), ending.clone());
         let controllers = vec![
             tokio::spawn(exchanges),
-            tokio::spawn(until(ending.clone(), roles.clone().serve(inbox))),
+            tokio::spawn(until(ending.clone(), roles.serve(inbox))),
             tokio::spawn(until(ending.clone(), follow.run())),
-            tokio::spawn({
-                let (node, ending) = (node.clone(), ending.clone());
-                async move { node.run(ending).await }
-            }),
+            tokio::spawn(run(node.clone(), ending.clone())),
         ];
-        log::info!(
-            "host {} serves http={} hop={} exchange={}",
-            config.host.name,
-            config.host.http,
-            config.host.hop,
-            config.host.exchange,
-        );
+        log::info!("host {me} serves callers at {}", config.host.http);
         Ok(Self {
             config,
             node,
-            roles,
-            gatherer,
             tracer,
-            phase,
+            driver,
             world,
             closing,
             ending,
@@ -245,56 +209,111 @@
         };
         signalled().await;
         log::info!("stop requested; readiness is off");
-        let stop = self.stop();
-        tokio::select! {
-            () = stop => {}
-            () = signalled() => log::warn!("second signal: work in hand is not waited for"),
-        }
+        self.stop_unless(signalled()).await;
     }
 
     /// Stops gracefully: no request that was accepted is cut off.
     pub async fn stop(self) {
-        let longest = self.config.longest_stop;
-        let tracer = self.tracer.clone();
-        let controllers: Vec<_> = self
-            .controllers
-            .iter()
-            .map(JoinHandle::abort_handle)
-            .collect();
-        if time::timeout(longest, self.drain()).await.is_err() {
-            log::warn!(
-                "work in hand was not finished in {} ms",
-                longest.as_millis()
-            );
-        }
-        controllers.iter().for_each(tokio::task::AbortHandle::abort);
-        tracer.flush();
+        self.stop_unless(future::pending()).await;
     }
 
-    async fn drain(mut self) {
-        self.phase.send_replace(Phase::LameDuck);
-        self.node.leave().await;
-        time::sleep(self.config.lame_duck).await;
-        self.phase.send_replace(Phase::Draining);
-        self.gatherer.drain().await;
-        self.roles.orders.drain().await;
-        self.roles.dispatcher.drain().await;
+    /// Stops gracefully; `again` ends the wait, and what is in flight is answered as unknown.
+    async fn stop_unless(mut self, again: impl Future<Output = ()>) {
+        let limits = Limits {
+            lame_duck: self.config.lame_duck,
+            longest: self.config.longest_stop,
+        };
+        let node = self.node.clone();
+        let told = tokio::spawn(async move { node.leave().await });
+        self.driver.run(limits, again).await;
         self.closing.cancel();
-        for server in self.servers.drain(..) {
-            if let Err(error) = server.await {
-                log::error!("a server ended early: {error}");
-            }
-        }
+        let servers = self.servers.drain(..);
+        finish("server", servers, LAST_ANSWERS).await;
+        told.abort();
         self.ending.cancel();
-        for controller in self.controllers.drain(..) {
-            if let Err(error) = controller.await {
-                log::error!("a controller ended early: {error}");
-            }
-        }
+        finish("controller", self.controllers.drain(..), LAST_ANSWERS).await;
+        self.tracer.flush();
         log::info!("host {} stopped", self.config.host.name);
     }
 }
 
+/// Waits until `tasks` end, for at most `wait` each.
+async fn finish(what: &str, tasks: impl Iterator<Item = JoinHandle<()>>, wait: Duration) {
+    for mut task in tasks {
+        match time::timeout(wait, &mut task).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => log::error!("a {what} ended early: {error}"),
+            Err(_) => task.abort(),
+        }
+    }
+}
+
+/// Returns what the host does for others.
+fn roles(
+    config: &Config,
+    incarnation: Incarnation,
+    platform: store::Client,
+    peers: &Peers,
+    tracer: &Tracer,
+    flight: Flight,
+) -> Roles {
+    let me = &config.host.name;
+    let connector = Connector::new(leaf::Connector, tracer.clone());
+    Roles {
+        dispatcher: Dispatcher::new(
+            me.clone(),
+            incarnation,
+            connector,
+            Default::default(),
+            config.seed,
+        ),
+        // Tickets must not be guessable, so this seed is never a setting.
+        orders: Orders::new(
+            me.clone(),
+            incarnation,
+            platform,
+            peers.clone(),
+            Default::default(),
+            rand::random(),
+        ),
+        tracer: tracer.clone(),
+        flight,
+    }
+}
+
+/// Returns what callers, operators and the balancer are answered with.
+fn service(
+    roles: &Roles,
+    gatherer: &Gatherer<Peers>,
+    node: &Node<store::Client, exchange::Client>,
+    world: &watch::Receiver<World>,
+    signs: Signs,
+) -> Service {
+    let scrape = Scrape {
+        metrics: Metrics::default(),
+        roles: roles.clone(),
+        gatherer: gatherer.clone(),
+        node: node.clone(),
+    };
+    Service {
+        api: Api {
+            gatherer: gatherer.clone(),
+            orders: roles.orders.clone(),
+            tracer: roles.tracer.clone(),
+            metrics: scrape.metrics.clone(),
+            world: world.clone(),
+            signs,
+        },
+        node: node.clone(),
+        scrape,
+    }
+}
+
+/// Runs the state's controllers until `stop`.
+async fn run(node: Node<store::Client, exchange::Client>, stop: CancellationToken) {
+    node.run(stop).await;
+}
+
 /// Runs `work` until `stop`.
 async fn until(stop: CancellationToken, work: impl Future<Output = ()>) {
     tokio::select! {
@@ -303,6 +322,9 @@
     }
 }
 
+/// Time for the last answers to leave after all work is done or given up.
+const LAST_ANSWERS: Duration = Duration::from_secs(1);
+
 /// Interval of pings on connections with open calls, to find silent ones.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod scrape;
 pub mod server;
 pub mod spans;
+pub mod stop;
 
 pub use host::{Host, Listeners};
--- a/crates/host/src/local.rs
+++ b/crates/host/src/local.rs
@@ -1,5 +1,6 @@
 //! Calls of a host to its own dispatcher and claimer.
 
+use opentelemetry::trace::SpanKind;
 use rattanmast_dispatch::Dispatcher;
 use rattanmast_model::{
     outcome::{Outcome, Reason},
@@ -10,11 +11,10 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
-use opentelemetry::trace::SpanKind;
-
 use crate::{
     peers::Peers,
     spans::{self, Tracer},
+    stop::Flight,
 };
 
 /// A call that waits for its reply; a dropped receiver cancels it.
@@ -45,11 +45,14 @@
     pub orders: Orders<store::Client, Peers>,
     /// Starts spans.
     pub tracer: Tracer,
+    /// What is in flight.
+    pub flight: Flight,
 }
 
 impl Roles {
     /// Serves a sub-query.
     pub async fn subquery(&self, mut message: Subquery) -> Subreply {
+        let _in_flight = self.flight.enter();
         let kind = SpanKind::Server;
         let mut span = self.tracer.start("dispatch", kind, message.trace);
         message.trace = Some(span.context());
@@ -62,6 +65,7 @@
     pub async fn order(&self, mut message: Order) -> Outcome {
         let roles = self.clone();
         let task = tokio::spawn(async move {
+            let _in_flight = roles.flight.enter();
             let (step, name) = match message.step {
                 Step::Claim => (Step::Claim, "claim"),
                 Step::Dispatch => (Step::Dispatch, "dispatch order"),
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -103,6 +103,14 @@
         client.ok_or_else(|| Error::Connect { host: host.clone() })
     }
 
+    /// Tells the membership of a host that cannot be connected to.
+    fn noted<T>(&self, result: Result<T>) -> Result<T> {
+        if let Err(Error::Connect { host }) = &result {
+            self.inner.node.failed(host);
+        }
+        result
+    }
+
     /// Makes a call to the own host.
     async fn local<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> Result<T> {
         let host = &self.inner.me;
@@ -179,8 +187,10 @@
         }
         let mut client = self.client(host)?;
         let call = client.search(request(message.into(), timeout));
-        let reply = within(host, timeout, call).await?;
-        Subreply::try_from(reply).map_err(|error| unreadable(host, &error))
+        let reply = self.noted(within(host, timeout, call).await)?;
+        let reply = Subreply::try_from(reply).map_err(|error| unreadable(host, &error))?;
+        self.inner.node.answered(host, reply.incarnation);
+        Ok(reply)
     }
 
     async fn order(&self, host: &host::Name, message: Order, timeout: Duration) -> Result<Outcome> {
@@ -189,7 +199,7 @@
         }
         let mut client = self.client(host)?;
         let call = client.submit(request(message.into(), timeout));
-        let outcome = within(host, timeout, call).await?;
+        let outcome = self.noted(within(host, timeout, call).await)?;
         Outcome::try_from(outcome).map_err(|error| unreadable(host, &error))
     }
 
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -9,13 +9,13 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use rattanmast_state::node::Node;
+use rattanmast_state::{node::Node, stop::Phase};
 use rattanmast_wire::{
     exchange,
     http::{self, Whole},
     store,
 };
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{net::TcpListener, time};
 use tokio_util::sync::CancellationToken;
 
 use crate::{api::Api, scrape::Scrape};
@@ -26,18 +26,6 @@
 /// Time to wait before accepting again after the system refused to.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// How far a planned stop is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Phase {
-    /// Requests are served.
-    #[default]
-    Ready,
-    /// Readiness is off; requests are still served until the balancer has noticed.
-    LameDuck,
-    /// New requests are refused; work in hand is finished.
-    Draining,
-}
-
 /// What the server answers with.
 #[derive(Clone)]
 pub struct Service {
@@ -64,14 +52,16 @@
 
     fn ready(&self) -> Response<Whole> {
         let serving = self.api.world.borrow().serving;
-        let phase = *self.api.phase.borrow();
+        let phase = *self.api.signs.phase.borrow();
         let (status, text) = match phase {
             Phase::Ready if serving => (StatusCode::OK, "ready\n"),
             Phase::Ready => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "configuration is not proven\n",
             ),
-            Phase::LameDuck | Phase::Draining => (StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+            Phase::LameDuck | Phase::Draining | Phase::Done => {
+                (StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
+            }
         };
         http::typed(status, "text/plain", text.into())
     }
@@ -115,9 +105,3 @@
     }
     graceful.shutdown().await;
 }
-
-/// Waits until `phase` is at least `wanted` and returns.
-pub async fn reached(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
-    // The sender lives as long as the host; an error means that it stopped.
-    let _ = phase.wait_for(|phase| *phase == wanted).await;
-}
