Test bad input and the trace over the whole path

Cause: nothing showed that bad input is refused with a true outcome, or that a trace reaches the leafs.

--- a/crates/try/src/call.rs
+++ b/crates/try/src/call.rs
@@ -56,6 +56,7 @@
 #[derive(Clone, Debug)]
 pub struct Caller {
     key: String,
+    traceparent: Option<String>,
     client: legacy::Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -64,10 +65,20 @@
     pub fn new(key: impl Into<String>) -> Self {
         Self {
             key: key.into(),
+            traceparent: None,
             client: legacy::Client::builder(TokioExecutor::new()).build_http(),
         }
     }
 
+    /// Returns the caller with a trace context that it sends with each request.
+    #[must_use]
+    pub fn traced(self, traceparent: &str) -> Self {
+        Self {
+            traceparent: Some(traceparent.to_owned()),
+            ..self
+        }
+    }
+
     /// Sends a request to `host`.
     ///
     /// # Errors
@@ -88,6 +99,9 @@
         if let Some(key) = idempotency_key {
             request = request.header(api::IDEMPOTENCY_KEY, key);
         }
+        if let Some(traceparent) = &self.traceparent {
+            request = request.header("traceparent", traceparent);
+        }
         let request = request.body(Full::new(body)).context(RequestSnafu)?;
         let response = self.client.request(request).await.context(HostSnafu)?;
         let status = response.status();
