Tell keys that are about to expire from keys that are too old

Change: a key that is remembered but no longer claimed is refused with a remedy that says that an earlier request may still run.

--- a/crates/order/src/key.rs
+++ b/crates/order/src/key.rs
@@ -27,6 +27,12 @@
          /v1/orders/<key> or look at the record before you send the order with a new key"
     ))]
     Old,
+    /// The key will soon be forgotten, so it is not claimed any more.
+    #[snafu(display(
+        "the key is about to expire, so this request was not run, but an earlier one with the key \
+         may still run; ask GET /v1/orders/<key> before you send the order with a new key"
+    ))]
+    Expiring,
     /// The key was made by a clock that is ahead.
     #[snafu(display("the time in the key is in the future; set the caller's clock"))]
     Ahead,
--- a/crates/order/src/orders.rs
+++ b/crates/order/src/orders.rs
@@ -411,7 +411,7 @@
                 Answer::Held { holder, .. } => Err(self.ask(&holder, message).await),
                 Answer::Recorded(state) => Err(refusal::repeated(recorded(state))),
                 Answer::Differs => Err(refusal::differs()),
-                Answer::Old => Err(refusal::not_run(Reason::Key, &key::Error::Old.to_smolstr())),
+                Answer::Expired(error) => Err(refusal::not_run(Reason::Key, &error.to_smolstr())),
                 Answer::Full => Err(refusal::full()),
                 Answer::Store => Err(refusal::store()),
             };
--- a/crates/order/src/partition.rs
+++ b/crates/order/src/partition.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    key::Identity,
+    key::{self, Identity},
     log::{Access, Log, Moment},
     record::{Holder, Record, State},
     settings::Settings,
@@ -60,8 +60,8 @@
     Recorded(State),
     /// The key was used for another order.
     Differs,
-    /// The key is below the low watermark.
-    Old,
+    /// The key is below the low watermark, or will soon be.
+    Expired(key::Error),
     /// Too many keys.
     Full,
     /// The platform does not answer.
--- a/crates/order/src/partition/draft.rs
+++ b/crates/order/src/partition/draft.rs
@@ -5,7 +5,7 @@
 
 use super::{Answer, Ask, Partition, lock};
 use crate::{
-    key::Identity,
+    key::{self, Identity},
     log::Moment,
     record::{Batch, Holder, OBJECT_LIMIT, Record, State},
     settings::{CLAIM_TTL, Mutation, millis},
@@ -35,9 +35,14 @@
 
 /// Decides about `ask`; keys older than `least` are not claimed any more.
 fn judge(table: &Table, ask: &Ask, least: u64, limit: usize, me: &Holder) -> Verdict {
+    let expired = match ask.ms < table.low {
+        true => key::Error::Old,
+        false => key::Error::Expiring,
+    };
+    let expired = Verdict::Answer(Answer::Expired(expired));
     let Some(entry) = table.get(ask.id) else {
         return match () {
-            () if ask.ms < least => Verdict::Answer(Answer::Old),
+            () if ask.ms < least => expired,
             () if table.len() >= limit => Verdict::Answer(Answer::Full),
             () => Verdict::Claim { attempt: 1 },
         };
@@ -48,11 +53,9 @@
     };
     match &entry.state {
         _ if entry.digest != ask.digest => Verdict::Answer(Answer::Differs),
-        State::NotRun if ask.ms < least => Verdict::Answer(Answer::Old),
+        State::NotRun if ask.ms < least => expired,
         State::NotRun => again,
-        State::Open if own && ask.void == Some(entry.nonce) && ask.ms < least => {
-            Verdict::Answer(Answer::Old)
-        }
+        State::Open if own && ask.void == Some(entry.nonce) && ask.ms < least => expired,
         State::Open if own && ask.void == Some(entry.nonce) => again,
         State::Open => Verdict::Answer(Answer::Held {
             holder: table.holder(entry).clone(),
