--- a/crates/state/src/accept.rs
+++ b/crates/state/src/accept.rs
@@ -228,7 +228,9 @@
     }
     let base = plan.base;
     if record.config.version != base {
-        let others = since(store, &record, base).await?;
+        let newest = record.config.version.0;
+        let told = Version(base.0.max(newest.saturating_sub(TOLD)));
+        let others = since(store, &record, told).await?;
         let current = record.config.version;
         return RacedSnafu {
             base,
@@ -343,6 +345,8 @@
     let name = record::history(record.config.version);
     match store.create(&name, &to_bytes(record)?).await {
         Ok(_) | Err(store::Error::Conflict { .. }) => Ok(()),
+        // All writers of a history object write the same, so it suffices that it exists.
+        Err(store::Error::Lost { .. }) => store.get(&name).await.map(drop).context(UnwrittenSnafu),
         Err(source) => Err(Error::Unwritten { source }),
     }
 }
@@ -357,8 +361,7 @@
         version: current.config.version,
         change: current.change.clone(),
     }];
-    let oldest = (base.0 + 1).max(newest.saturating_sub(TOLD));
-    for version in (oldest..newest).rev().map(Version) {
+    for version in (base.0 + 1..newest).rev().map(Version) {
         match past(store, version).await {
             Ok(record) => entries.push(Entry {
                 version,
