Try the next dispatcher when one does not serve

Cause: in a rolling restart with real processes 1 of 3 runs saw an order refused with "the host cannot prove its configuration": the claimer passed on the refusal of a dispatcher that had just started. A dispatcher that had restarted refused likewise. Worse, the root took the reasons `Stale`, `Stopping` and `Unreachable` of the claimer's answer for the claimer's own, went on to the next claimer, which found the key held, and answered `Unknown` for an order that was certainly not run. Once the key is claimed, refusals have the reason `Refused`.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -380,7 +380,7 @@
     fn admit(&self, message: &peer::Order) -> Result<(Arc<Service<C, P>>, Instant), Outcome> {
         if message.target != self.incarnation {
             let remedy = "the order was sent to an earlier run of the host; try again";
-            return Err(not_run(Reason::Refused, remedy));
+            return Err(not_run(Reason::Unreachable, remedy));
         }
         if message.step != Step::Dispatch {
             let remedy = "the order has to be claimed first; send it to the claimer";
--- a/crates/host/src/problem.rs
+++ b/crates/host/src/problem.rs
@@ -108,6 +108,6 @@
         Reason::Key => "the idempotency key cannot be used",
         Reason::Denied => "the caller has no right to it",
         Reason::Invalid => "the request is malformed",
-        Reason::Refused => "the leaf refused it before it began",
+        Reason::Refused => "it was refused before any leaf began it",
     }
 }
--- a/crates/order/src/send.rs
+++ b/crates/order/src/send.rs
@@ -10,6 +10,7 @@
     peer::{self, Peers},
     roster,
 };
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use crate::{
@@ -68,7 +69,8 @@
     })
 }
 
-/// Sends `order` to the first usable dispatcher, and to the next one only if no byte left.
+/// Sends `order` to the first usable dispatcher, and to the next one only if no byte left, or
+/// if the dispatcher says that it does not serve.
 ///
 /// `ready` is asked immediately before each try whether the process may still send.
 pub async fn send<P: Peers>(
@@ -86,13 +88,16 @@
             "the collection does not exist; see rattanmast-ctl status for their names",
         );
     };
+    let mut remedy = SmolStr::new_static(
+        "no dispatcher of the collection is reachable; send it again with the same key",
+    );
     for host in roster::dispatchers(&config.hosts, &service) {
         let target = peers.incarnation(&host.name);
         let Some(target) = target.filter(|_| peers.usable(&host.name)) else {
             continue;
         };
         if let Err(refusal) = ready() {
-            return refusal;
+            return claimed(refusal);
         }
         let timeout = right.time_left();
         let Some(not_after_ms) = right.not_after(settings).filter(|_| !timeout.is_zero()) else {
@@ -107,6 +112,12 @@
             ..order.clone()
         };
         match peers.order(&host.name, message, timeout).await {
+            // The dispatcher did nothing and cannot, as one that has just started or is
+            // stopping; the message is not accepted later.
+            Ok(Outcome::NotRun {
+                reason: Reason::Stopping | Reason::Stale | Reason::Unreachable,
+                remedy: why,
+            }) => remedy = why,
             Ok(outcome) => return outcome,
             Err(peer::Error::Connect { .. }) => {}
             Err(error @ peer::Error::Broken { .. }) => {
@@ -118,8 +129,16 @@
             }
         }
     }
-    refusal::not_run(
-        Reason::Unreachable,
-        "no dispatcher of the collection is reachable; send it again with the same key",
-    )
+    refusal::not_run(Reason::Refused, &remedy)
+}
+
+/// Returns the refusal of an order whose key is claimed.
+///
+/// The reasons by which a root tells that a claimer did nothing must not be used: the root
+/// would go on to the next claimer, which finds the key held and calls the order unknown.
+fn claimed(refusal: Outcome) -> Outcome {
+    match refusal {
+        Outcome::NotRun { remedy, .. } => refusal::not_run(Reason::Refused, &remedy),
+        other => other,
+    }
 }
--- a/crates/order/tests/orders/sim/mod.rs
+++ b/crates/order/tests/orders/sim/mod.rs
@@ -73,6 +73,8 @@
     pub inbox: Inbox,
     pub paused: Instant,
     pub skew: i64,
+    /// Whether the host's dispatcher cannot prove its configuration.
+    pub stale: bool,
     /// What this host believes of the others: their process run, and until when they are dead.
     pub heard: Vec<Option<Incarnation>>,
     pub shunned: Vec<Instant>,
@@ -118,6 +120,7 @@
             inbox: Inbox::new(Incarnation(0)),
             paused: now,
             skew: 0,
+            stale: false,
             heard: vec![None; HOSTS],
             shunned: vec![now; HOSTS],
         };
--- a/crates/order/tests/orders/sim/network.rs
+++ b/crates/order/tests/orders/sim/network.rs
@@ -104,6 +104,9 @@
         if let Err(refusal) = self.lock().slots[id.host].inbox.admit(&message) {
             return refusal;
         }
+        if self.lock().slots[id.host].stale {
+            return not_run(Reason::Stale);
+        }
         if self.chance(|f| f.shed) {
             return not_run(Reason::Overload);
         }
