--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,79 @@
-//! Not written yet.
-fn main() {}
+//! The operators' command line of rattanmast.
+
+mod cli;
+mod config;
+mod error;
+mod exit;
+mod hosts;
+mod planning;
+mod show;
+mod showing;
+
+use std::{process::ExitCode, time::Duration};
+
+use bpaf::{Args, ParseFailure};
+use cli::Command;
+use config::Config;
+use exit::Code;
+use rattanmast_wire::store::Client;
+
+/// Columns of the help text.
+const WIDTH: usize = 100;
+
+fn main() -> ExitCode {
+    run().into()
+}
+
+fn run() -> Code {
+    let options = match cli::options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(WIDTH);
+            return match failure {
+                ParseFailure::Stderr(_) => Code::Input,
+                ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Code::Ok,
+            };
+        }
+    };
+    let log = simplelog::Config::default();
+    if let Err(error) = simplelog::WriteLogger::init(options.log, log, std::io::stderr()) {
+        eprintln!("log cannot be started: {error}");
+        return Code::Failed;
+    }
+    let (config, command) = match Config::new(options) {
+        Ok(parts) => parts,
+        Err(error) => {
+            eprintln!("{error}");
+            return Code::Input;
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("runtime cannot be started ({error}); raise the limits of the process");
+            return Code::Failed;
+        }
+    };
+    let result = runtime.block_on(execute(&config, &command));
+    result.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        error.code()
+    })
+}
+
+async fn execute(config: &Config, command: &Command) -> error::Result<Code> {
+    let store = Client::new(config.platform);
+    match command {
+        Command::Plan { out, aim } => planning::plan(config, &store, aim, out.as_deref()).await,
+        Command::Confirm { by, wait, plan } => {
+            let wait = Duration::from_secs(*wait);
+            planning::confirm(config, &store, plan, by, wait).await
+        }
+        Command::Status => showing::status(config, &store).await,
+        Command::History { count } => showing::history(config, &store, *count).await,
+        Command::Explain { name } => showing::explain(config, &store, name).await,
+    }
+}
