Notice lost hosts and new process runs sooner

Change: a watcher meets the next usable watcher each time, as other hosts meet the layer above; a new run or a leaving host that is met is told on; tests.

--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -82,3 +82,24 @@
     };
     rows.iter().map(line).collect::<Vec<_>>().join("\n")
 }
+
+/// Returns a time since the Unix epoch as operators read it, in UTC.
+pub fn time(ms: u64) -> String {
+    let (days, rest) = (ms / 86_400_000, ms / 1000 % 86_400);
+    // Years begin in March here, so that the leap day is the last day of a year.
+    let day = days + 719_468;
+    let era = day / 146_097;
+    let of_era = day % 146_097;
+    let year = (of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096) / 365;
+    let of_year = of_era - (365 * year + year / 4 - year / 100);
+    let month = (5 * of_year + 2) / 153;
+    let day = of_year - (153 * month + 2) / 5 + 1;
+    let (month, later) = if month < 10 {
+        (month + 3, 0)
+    } else {
+        (month - 9, 1)
+    };
+    let year = era * 400 + year + later;
+    let (hour, minute, second) = (rest / 3600, rest / 60 % 60, rest % 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}Z")
+}
--- a/crates/ctl/src/showing.rs
+++ b/crates/ctl/src/showing.rs
@@ -118,7 +118,11 @@
         match entry.change {
             None => println!("version {version}, not made by a plan"),
             Some(change) => {
-                println!("version {version} by {} at {} ms", change.by, change.at_ms);
+                println!(
+                    "version {version} by {} at {}",
+                    change.by,
+                    show::time(change.at_ms)
+                );
                 change.lines.iter().for_each(|line| println!("  {line}"));
             }
         }
@@ -246,8 +250,9 @@
         for index in 0..collection.services {
             let collection = collection.name.clone();
             let candidates = roster::dispatchers(&config.hosts, &Service { collection, index });
-            let place = candidates.iter().position(|h| h.name == host.name);
-            counts[place?.min(roster::CANDIDATES - 1)] += 1;
+            if let Some(place) = candidates.iter().position(|h| h.name == host.name) {
+                counts[place] += 1;
+            }
         }
     }
     let watcher = if watcher { "reads" } else { "does not read" };
--- a/crates/state/src/change.rs
+++ b/crates/state/src/change.rs
@@ -83,12 +83,17 @@
             Action::Remove => '-',
             Action::Alter => '~',
         };
-        write!(f, "{sign} {} {}", self.kind, self.name)?;
-        for field in &self.fields {
+        write!(f, "{sign} {}", self.kind)?;
+        if self.kind != Kind::Floors {
+            write!(f, " {}", self.name)?;
+        }
+        for (i, field) in self.fields.iter().enumerate() {
+            let gap = if i == 0 { " " } else { "; " };
+            write!(f, "{gap}{}: ", field.name)?;
             match (&field.old, &field.new) {
-                (Some(old), Some(new)) => write!(f, " {}: {old} -> {new};", field.name)?,
-                (None, Some(new)) => write!(f, " {}: {new};", field.name)?,
-                (Some(old), None) => write!(f, " {}: was {old};", field.name)?,
+                (Some(old), Some(new)) => write!(f, "{old} -> {new}")?,
+                (None, Some(new)) => f.write_str(new)?,
+                (Some(old), None) => write!(f, "was {old}")?,
                 (None, None) => {}
             }
         }
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -118,31 +118,45 @@
         }
     }
 
-    /// Notes what a host said of itself.
-    pub fn heard(&mut self, digest: &Digest, now: Instant) {
+    /// Notes what a host said of itself; returns whether that is news.
+    pub fn heard(&mut self, digest: &Digest, now: Instant) -> bool {
         let Some(member) = self.members.get_mut(&digest.host) else {
-            return;
+            return false;
         };
         if digest.incarnation < member.incarnation {
-            return;
+            return false;
         }
-        let restarted = digest.incarnation > member.incarnation;
-        let state = match digest.leaving {
-            true => Standing::Leaving,
-            false => Standing::Alive,
-        };
-        // A host that said it leaves does not return in the same process run.
-        let left = member.state == Some(Standing::Leaving) && !restarted;
+        let (known, before) = (member.incarnation, member.state);
+        let restarted = digest.incarnation > known;
         if restarted {
             member.incarnation = digest.incarnation;
             member.counter = 0;
         }
-        if !left {
-            member.state = Some(state);
-        }
+        // A host that said it leaves does not return in the same process run.
+        let left = before == Some(Standing::Leaving) && !restarted;
+        let state = match digest.leaving || left {
+            true => Standing::Leaving,
+            false => Standing::Alive,
+        };
+        member.state = Some(state);
         member.heard = Some(now);
         member.config = digest.config;
         member.down = digest.down;
+
+        // Hosts that are met for the first time are no news, or a fleet that starts would tell
+        // of nothing else.
+        let news = (restarted && known != Incarnation::default())
+            || (state == Standing::Leaving && before != Some(state));
+        if news {
+            let rumor = Rumor {
+                host: digest.host.clone(),
+                incarnation: digest.incarnation,
+                counter: member.counter,
+                state,
+            };
+            self.tell(rumor);
+        }
+        news
     }
 
     /// Notes that a host replied to something else than an exchange.
--- a/crates/state/src/spread.rs
+++ b/crates/state/src/spread.rs
@@ -164,9 +164,7 @@
         if !haste {
             peers.extend(state.random());
         }
-        if haste || !state.place.above.is_empty() {
-            peers.extend(state.above(haste));
-        }
+        peers.extend(state.above(haste));
         peers.dedup();
         let mut calls: Vec<_> = peers.into_iter().map(|(n, a)| (Some(n), a)).collect();
         if state.others.is_empty() {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -150,8 +150,8 @@
 
     /// Takes over what a peer's digest says of hosts and leafs; returns whether any is news.
     pub fn hear(&mut self, digest: &Digest, now: Instant) -> bool {
-        self.members.heard(digest, now);
-        let mut news = self.drains.merge(&digest.leafs, now);
+        let mut news = self.members.heard(digest, now);
+        news |= self.drains.merge(&digest.leafs, now);
         for rumor in digest.rumors.iter().take(RUMORS) {
             news |= self.members.rumor(rumor, now);
         }
@@ -201,26 +201,27 @@
 
     /// Returns the host of the layer above, or another one of that layer in `haste`.
     ///
-    /// For a watcher that is another watcher.
+    /// For a watcher that is the next usable watcher in order, so that each watcher is met by
+    /// another one every time and its loss is noticed at once.
     pub fn above(&mut self, haste: bool) -> Option<(Name, SocketAddr)> {
-        let list = match self.place.above.is_empty() {
+        let watcher = self.place.above.is_empty();
+        let list = match watcher {
             true => &self.place.watchers,
             false => &self.place.above,
         };
-        let first = self.place.above.get(self.place.first);
-        let first = first.filter(|n| !haste && self.members.usable(n));
-        let usable = list
-            .iter()
-            .filter(|n| **n != self.me && self.members.usable(n));
-        let mut usable: Vec<&Name> = usable.collect();
-        if usable.is_empty() {
-            usable.extend(list.iter().filter(|n| **n != self.me));
-        }
-        let any = match usable.len() {
-            0 => None,
-            len => Some(usable[self.rng.random_range(0..len)]),
+        let begin = match watcher {
+            true => list.iter().position(|n| *n == self.me).map_or(0, |i| i + 1),
+            false => self.place.first,
+        };
+        let begin = if haste {
+            self.rng.random_range(0..list.len().max(1))
+        } else {
+            begin
         };
-        let name = first.or(any)?.clone();
+        let others = list.iter().cycle().skip(begin).take(list.len());
+        let mut others = others.filter(|n| **n != self.me);
+        let usable = others.clone().find(|n| self.members.usable(n));
+        let name = usable.or_else(|| others.next())?.clone();
         let addr = *self.addrs.get(&name)?;
         Some((name, addr))
     }
--- a/crates/state/tests/accept.rs
+++ b/crates/state/tests/accept.rs
@@ -73,7 +73,7 @@
     assert_eq!(
         error.to_string(),
         "configuration is at version 2, not 1 that the plan was made on; plan again: anna made \
-         version 2: ~ search search-blade-profile-registry longest_wait_ms: 400 -> 401; (for bench)"
+         version 2: ~ search search-blade-profile-registry longest_wait_ms: 400 -> 401 (for bench)"
     );
     let record = accept::current(&store).await.unwrap().record;
     assert_eq!(record.config, a.target);
