--- a/crates/measure/src/case.rs
+++ b/crates/measure/src/case.rs
@@ -133,7 +133,7 @@
 }
 
 /// Returns the median of `figures`; NaN if there are none or one is NaN.
-fn median(mut figures: Vec<f64>) -> f64 {
+pub(crate) fn median(mut figures: Vec<f64>) -> f64 {
     figures.sort_unstable_by(f64::total_cmp);
     let middle = figures.len() / 2;
     match figures.len() {
--- a/crates/measure/src/table.rs
+++ b/crates/measure/src/table.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::{
-    case::{Case, Verdict},
+    case::{Case, Verdict, median},
     run::Run,
     scenario::Scenario,
     tally::Row,
@@ -42,6 +42,8 @@
     pub effective: f64,
     /// Whether searches put coverage first.
     pub whole: bool,
+    /// The share of slot time in use.
+    pub busy: f64,
     /// The answers that an audit checked, over all seeds.
     pub checked: u64,
     /// The figures by rank, as `Rank::ALL`.
@@ -61,6 +63,7 @@
                 load: scenario.total(),
                 effective: scenario.effective(),
                 whole: scenario.priority == Priority::Coverage,
+                busy: median(runs.iter().map(|s| s[index].busy).collect()),
                 checked: runs.iter().map(|s| s[index].findings.checked).sum(),
                 rows,
             }
@@ -128,6 +131,7 @@
         if self.effective > self.load {
             let _infallible = write!(text, " ({:.1}% with slow replies)", self.effective * 100.0);
         }
+        let _infallible = write!(text, "; slots {:.1}% in use", self.busy * 100.0);
         if self.whole {
             text.push_str("; coverage first");
         }
