Keep the ports of tests apart from those of scripts/fleet

Cause: processes of a test run took ports that scripts/fleet uses, so hosts of a trial could not bind theirs. Change: tests take ports from 28,000 to 32,700.

--- a/crates/host/tests/env/mod.rs
+++ b/crates/host/tests/env/mod.rs
@@ -390,9 +390,10 @@
 
 /// Returns an address that nobody listens on.
 fn free_port() -> SocketAddr {
-    let first = u16::try_from(std::process::id() % 200 * 80).unwrap();
+    // Above the fixed ports of `scripts/fleet` and below those that the system gives away.
+    let first = u16::try_from(std::process::id() % 200 * 20).unwrap();
     let mut tries =
-        (0..2_000).map(|_| 12_000 + (first + PORT.fetch_add(1, Ordering::Relaxed)) % 16_000);
+        (0..2_000).map(|_| 28_000 + (first + PORT.fetch_add(1, Ordering::Relaxed)) % 4_700);
     let free = tries.find(|port| TcpListener::bind(local(*port)).is_ok());
     local(free.unwrap())
 }
