--- a/crates/gather/tests/scenarios.rs
+++ b/crates/gather/tests/scenarios.rs
@@ -5,15 +5,16 @@
 //! present results into the files; read the difference before it is committed.
 //! Every answer is also checked against the records themselves.
 //!
-//! A dispatcher is named by the service that it is the first candidate of. The
-//! root learns of changes to the data only by `catalog arrives`.
+//! A leaf is named by service and replica, as in `2/0`; a dispatcher by the
+//! service that it is the first candidate of. The root learns of changes to the
+//! data only by `catalog arrives`.
 
 mod common;
 
 use std::{fmt::Write as _, time::Duration};
 
 use common::{BLADES, Mode, World, check, query, service};
-use rattanmast_fakes::model::Faults;
+use rattanmast_fakes::model::{Faults, Leaf};
 use rattanmast_model::{
     catalog::Snapshot,
     config::Priority,
@@ -70,10 +71,8 @@
     })
 }
 
-/// Does something to a leaf named `service/replica`.
-fn leaf(world: &World, name: &str, words: &[&str]) {
-    let (service, replica) = name.split_once('/').expect("a leaf is service/replica");
-    let leaf = world.fleet.leaf(&format!("{BLADES}-0{service}-{replica}"));
+/// Does something to a leaf.
+fn leaf(world: &World, leaf: &Leaf, words: &[&str]) {
     match words {
         ["slow", factor] => leaf.set_faults(Faults {
             factor: number(factor),
@@ -142,7 +141,14 @@
             return Some(query.await.expect("no query panics"));
         }
         ["wait", ms] => tokio::time::sleep(Duration::from_millis(number(ms))).await,
-        ["leaf", name, rest @ ..] => leaf(world, name, rest),
+        ["leaf", "all", rest @ ..] => {
+            let leafs = world.fleet.leafs().into_iter();
+            leafs.for_each(|l| leaf(world, l, rest));
+        }
+        ["leaf", name, rest @ ..] => {
+            let name = format!("{BLADES}-0{}", name.replace('/', "-"));
+            leaf(world, world.fleet.leaf(&name), rest);
+        }
         ["dispatcher", "all", rest @ ..] => {
             let hosts = world.config.hosts.iter();
             hosts.for_each(|host| dispatcher(world, "all", &host.name, rest));
