Forget the orders whose outcome is in the log

Cause: a claimer kept each order twice, about 370 bytes an order. Change: the ledger drops an order when its outcome is in the log, and looks for expired ones every 10 s.

--- a/crates/order/examples/claims.rs
+++ b/crates/order/examples/claims.rs
@@ -10,12 +10,16 @@
 #[expect(dead_code, reason = "the example uses a part of the test fleet")]
 mod sim;
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use rattanmast_model::{rank::Rank, trace};
 use rattanmast_order::{Settings, Submit, settings::Mutation};
 use sim::{COLLECTION, HOSTS, World, uuid};
 use tokio::time::{Instant, sleep};
+use tokio_util::task::TaskTracker;
 
 /// What a run of orders took.
 struct Figures {
@@ -84,23 +88,27 @@
     };
     let before = resident();
     let world = World::new(rate, settings);
-    let mut calls = Vec::new();
-    let (mut times, mut unknown, mut not_done) = (Vec::new(), 0, 0);
+    let tasks = TaskTracker::new();
+    let results = Arc::new(Mutex::new(Vec::new()));
     for n in 0..rate * seconds {
         let key = uuid(world.true_ms(), n << 16);
-        calls.push(tokio::spawn(submit(world.clone(), n as usize % HOSTS, key)));
+        let (world_, results) = (world.clone(), Arc::clone(&results));
+        tasks.spawn(async move {
+            let result = submit(world_, n as usize % HOSTS, key).await;
+            results.lock().expect("no order panics").push(result);
+        });
         if n % 1000 == 999 {
             world.lock().runs.clear();
             world.lock().claims.clear();
         }
         sleep(Duration::from_micros(1_000_000 / rate)).await;
     }
-    for call in calls {
-        let (time, outcome) = call.await.expect("an order does not panic");
-        times.push(time);
-        unknown += usize::from(outcome == "unknown");
-        not_done += usize::from(outcome != "done");
-    }
+    tasks.close();
+    tasks.wait().await;
+    let results = std::mem::take(&mut *results.lock().expect("no order panics"));
+    let count = |outcome| results.iter().filter(|(_, o)| *o == outcome).count();
+    let (unknown, not_done) = (count("unknown"), results.len() - count("done"));
+    let mut times: Vec<Duration> = results.iter().map(|(time, _)| *time).collect();
     times.sort_unstable();
     let calls = |names: &[&str]| {
         let state = world.lock();
--- a/crates/order/src/ledger.rs
+++ b/crates/order/src/ledger.rs
@@ -1,12 +1,15 @@
 //! The orders that this process has in hand or had.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use rattanmast_model::{hash::Map, outcome::Outcome};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{key::Identity, refusal};
 
+/// Time between two searches for expired orders, each of which visits all.
+const SWEEP: Duration = Duration::from_secs(10);
+
 /// What an order ends with; `None` while it is in hand.
 pub type Ending = watch::Receiver<Option<Outcome>>;
 
@@ -44,7 +47,8 @@
 #[derive(Debug)]
 pub struct Ledger {
     hands: Map<Identity, Hand>,
-    expiries: VecDeque<(Instant, Identity)>,
+    /// When expired orders are next looked for.
+    sweep: Instant,
     keep: Duration,
     limit: usize,
 }
@@ -54,7 +58,7 @@
     pub fn new(keep: Duration, limit: usize) -> Self {
         Self {
             hands: Map::default(),
-            expiries: VecDeque::new(),
+            sweep: Instant::now(),
             keep,
             limit,
         }
@@ -68,15 +72,12 @@
         let hand = match self.hands.get_mut(&id) {
             Some(hand) => hand,
             None if !room => return Entered::Full,
-            None => {
-                self.expiries.push_back((expiry, id));
-                self.hands.entry(id).or_insert(Hand {
-                    digest,
-                    active: None,
-                    sent: None,
-                    expiry,
-                })
-            }
+            None => self.hands.entry(id).or_insert(Hand {
+                digest,
+                active: None,
+                sent: None,
+                expiry,
+            }),
         };
         if hand.digest != digest {
             return Entered::Differs;
@@ -123,6 +124,17 @@
     pub fn leave(&mut self, id: Identity) {
         if let Some(hand) = self.hands.get_mut(&id) {
             hand.active = None;
+            if hand.sent.is_none() {
+                self.hands.remove(&id);
+            }
+        }
+    }
+
+    /// Forgets the order that was sent under the claim `nonce`: the log holds its outcome.
+    pub fn forget(&mut self, id: Identity, nonce: u64) {
+        let hand = self.hands.get(&id).filter(|h| h.active.is_none());
+        if hand.is_some_and(|h| h.sent.as_ref().is_some_and(|s| s.nonce == nonce)) {
+            self.hands.remove(&id);
         }
     }
 
@@ -147,20 +159,10 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        while let Some((due, id)) = self.expiries.front().copied() {
-            if due > now {
-                return;
-            }
-            self.expiries.pop_front();
-            match self.hands.get(&id) {
-                Some(hand) if hand.active.is_some() => {
-                    self.expiries.push_back((now + self.keep, id));
-                }
-                Some(hand) if hand.expiry > now => self.expiries.push_back((hand.expiry, id)),
-                _ => {
-                    self.hands.remove(&id);
-                }
-            }
+        if now >= self.sweep {
+            self.hands
+                .retain(|_, hand| hand.active.is_some() || hand.expiry > now);
+            self.sweep = now + SWEEP;
         }
     }
 }
--- a/crates/order/src/orders.rs
+++ b/crates/order/src/orders.rs
@@ -85,7 +85,7 @@
     /// Reads the log for look-ups, one at a time.
     pub(crate) readers: Vec<tokio::sync::Mutex<Access<S>>>,
     config: RwLock<Arc<Config>>,
-    ledger: Mutex<Ledger>,
+    ledger: Arc<Mutex<Ledger>>,
     inbox: Mutex<Inbox>,
     issuer: Mutex<Issuer>,
     partitions: Vec<Handle>,
@@ -130,19 +130,21 @@
             wall: settings.wall.clone(),
             counters: Arc::clone(&counters),
         };
+        let keep = settings.window + 2 * settings.ahead;
+        let limit = settings.keys * usize::from(PARTITIONS);
+        let ledger = Arc::new(Mutex::new(Ledger::new(keep, limit)));
         let partitions = (0..PARTITIONS).map(|partition| {
             // The incarnation keeps nonces of process runs with equal seeds apart.
             let seed = mix(seed ^ mix(incarnation.0 ^ mix(partition.into())));
-            Partition::start(access(partition), settings.clone(), holder.clone(), seed)
+            let (settings, ledger) = (settings.clone(), Arc::clone(&ledger));
+            Partition::start(access(partition), settings, holder.clone(), ledger, seed)
         });
-        let keep = settings.window + 2 * settings.ahead;
-        let limit = settings.keys * usize::from(PARTITIONS);
         let inner = Inner {
             sequence: request::Sequence::new(&me, incarnation),
             partitions: partitions.collect(),
             readers: (0..PARTITIONS).map(|p| access(p).into()).collect(),
             config: RwLock::default(),
-            ledger: Ledger::new(keep, limit).into(),
+            ledger: Arc::clone(&ledger),
             inbox: Inbox::new(incarnation).into(),
             issuer: Issuer::new(me, incarnation, seed).into(),
             allowed: AtomicBool::new(true),
--- a/crates/order/src/partition.rs
+++ b/crates/order/src/partition.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     key::{self, Identity},
+    ledger::Ledger,
     log::{Access, Log, Moment},
     record::{Holder, Record, State},
     settings::Settings,
@@ -137,6 +138,7 @@
     access: Arc<Access<S>>,
     settings: Settings,
     me: Holder,
+    ledger: Arc<Mutex<Ledger>>,
     rng: SmallRng,
     receiver: mpsc::Receiver<Message>,
     table: Arc<Mutex<Option<Table>>>,
@@ -158,13 +160,20 @@
 
 impl<S: Store> Partition<S> {
     /// Starts the task.
-    pub fn start(access: Access<S>, settings: Settings, me: Holder, seed: u64) -> Handle {
+    pub fn start(
+        access: Access<S>,
+        settings: Settings,
+        me: Holder,
+        ledger: Arc<Mutex<Ledger>>,
+        seed: u64,
+    ) -> Handle {
         let (sender, receiver) = mpsc::channel(INBOX);
         let table = Arc::new(Mutex::new(None));
         let task = Self {
             access: Arc::new(access),
             settings,
             me,
+            ledger,
             rng: SmallRng::seed_from_u64(seed),
             receiver,
             table: Arc::clone(&table),
--- a/crates/order/src/partition/settle.rs
+++ b/crates/order/src/partition/settle.rs
@@ -5,6 +5,7 @@
 
 use super::{Answer, Partition, draft::Draft, lock};
 use crate::{
+    key::Identity,
     record::{Batch, Head},
     settings::Mutation,
     stats::Counters,
@@ -146,6 +147,9 @@
         }
         self.failures = 0;
         self.apply(&draft.batch, Some(draft.since));
+        for outcome in &draft.batch.records[draft.claims..] {
+            lock(&self.ledger).forget(Identity(outcome.id), outcome.nonce);
+        }
         self.grant(draft);
         false
     }
