--- a/crates/try/src/cli.rs
+++ b/crates/try/src/cli.rs
@@ -28,6 +28,9 @@
         display_fallback
     )]
     text: String,
+    /// Print the intent of the installation on the ports of scripts/fleet, and end.
+    #[bpaf(switch)]
+    print_intent: bool,
     /// Stay up afterwards, for calls by hand; end with Ctrl-C.
     #[bpaf(switch)]
     keep: bool,
@@ -64,6 +67,7 @@
             preset: preset
                 .ok_or_else(|| format!("--preset {}: give norway or switzerland", self.preset))?,
             text: self.text,
+            print_intent: self.print_intent,
             keep: self.keep,
             traces,
             seed: self.seed,
--- a/crates/try/src/show.rs
+++ b/crates/try/src/show.rs
@@ -28,6 +28,8 @@
     pub preset: Preset,
     /// The text to search for.
     pub text: String,
+    /// Whether to print the installation's intent and do nothing else.
+    pub print_intent: bool,
     /// Whether to stay up afterwards.
     pub keep: bool,
     /// Where spans go.
@@ -86,6 +88,10 @@
 /// Runs all steps.
 pub async fn run(config: &Config, started: Instant) -> Result<()> {
     let preset = config.preset.clone();
+    if config.print_intent {
+        print!("{}", render(&data::Data::new(preset).config()));
+        return Ok(());
+    }
     let mut installation = Installation::start(preset, config.seed, &config.traces)
         .await
         .context(StartSnafu)?;
