Do not copy leaf requests when no spans are recorded

Cause: the connector with spans copied each request to put its own trace context in, also where no span was recorded. Change: without recording the request is passed on as it is, with the dispatcher's trace context. Conclusion: one copy less for each leaf request.

--- a/crates/host/src/spans.rs
+++ b/crates/host/src/spans.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Tells whether spans are recorded; without, the leaf sees the dispatcher's context.
+    pub fn records(&self) -> bool {
+        self.tracer.is_some()
+    }
+
     /// Exports what is left.
     pub fn flush(&self) {
         if let Some(Err(error)) = self.provider.as_ref().map(SdkTracerProvider::force_flush) {
@@ -238,6 +243,9 @@
 
 impl<L: leaf::Link> leaf::Link for Link<L> {
     async fn search(&mut self, search: &Search) -> leaf::Result<Found> {
+        if !self.tracer.records() {
+            return self.inner.search(search).await;
+        }
         let span = self.start("leaf search", search.trace);
         let traced = Search {
             trace: Some(span.context()),
@@ -249,6 +257,9 @@
     }
 
     async fn order(&mut self, order: &Order) -> leaf::Result<Done> {
+        if !self.tracer.records() {
+            return self.inner.order(order).await;
+        }
         let span = self.start("leaf order", order.trace);
         let traced = Order {
             trace: Some(span.context()),
