--- a/crates/order/tests/orders/claims.rs
+++ b/crates/order/tests/orders/claims.rs
@@ -452,3 +452,36 @@
     assert_eq!(reason(&outcome), Some(Reason::Refused), "{outcome:?}");
     assert_eq!(runs(&world, "a", &key), 0);
 }
+
+/// Guards against an order that is reported as unknown although its dispatcher did not run it.
+#[tokio::test(start_paused = true)]
+async fn refusal_of_a_dispatcher_is_told() {
+    let world = world(Mutation::None);
+    world.lock().faults.shed = 1.0;
+    for host in 0..HOSTS {
+        let key = uuid(world.true_ms(), 1 + host as u64);
+        let refused = submit(&world, host, &key).await;
+        assert_eq!(reason(&refused), Some(Reason::Refused), "{refused:?}");
+    }
+    world.lock().faults.shed = 0.0;
+    let key = uuid(world.true_ms(), 1);
+    assert_eq!(submit(&world, 0, &key).await.name(), "done");
+}
+
+/// Guards against an order that is lost when its first claimer stops or restarts.
+#[tokio::test(start_paused = true)]
+async fn next_claimer_takes_over_from_a_stopping_one() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    let first = claimer(&world, &key, 0);
+    process(&world, first).drain().await;
+    let root = claimer(&world, &key, 1);
+    assert_eq!(submit(&world, root, &key).await.name(), "done");
+    // The other hosts have not heard of the new process run yet.
+    sleep(Duration::from_secs(2)).await;
+    world.kill(first);
+    world.boot(first);
+    sleep(Duration::from_secs(2)).await;
+    let next = uuid(world.true_ms(), 8);
+    assert_eq!(submit(&world, root, &next).await.name(), "done");
+}
