Ask hosts for their status without the platform

Cause: during an outage of the platform, status could not be shown, and a new host read its watcher's role only after its first wait for the platform. Conclusion: operators see the fleet during an outage.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -60,7 +60,11 @@
     },
     /// Show which configuration each host has, and who is behind.
     #[bpaf(command)]
-    Status,
+    Status {
+        /// Ask this host alone, without the platform (HTTP address); may be repeated.
+        #[bpaf(long("host"), argument("IP:PORT"))]
+        hosts: Vec<SocketAddr>,
+    },
     /// Show who changed what, the newest first.
     #[bpaf(command)]
     History {
--- a/crates/ctl/src/hosts.rs
+++ b/crates/ctl/src/hosts.rs
@@ -1,6 +1,6 @@
 //! Asking hosts for their status.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use futures::{StreamExt as _, stream};
@@ -24,38 +24,51 @@
 /// Why a host gave no status.
 pub type Failure = String;
 
-/// Asks `hosts` for their status; the answers are in the same order.
-pub async fn ask(hosts: &[&Host], reply: Duration) -> Vec<(Host, Result<Status, Failure>)> {
+/// Asks the hosts at `addrs` for their status; the answers are in the same order.
+pub async fn ask(addrs: &[SocketAddr], reply: Duration) -> Vec<Result<Status, Failure>> {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(reply));
     let client = Client::builder(TokioExecutor::new()).build(connector);
-    let calls = hosts.iter().map(|host| {
+    let calls = addrs.iter().map(|addr| {
         let client = client.clone();
         async move {
-            let answer = timeout(reply, one(&client, host)).await;
+            let answer = timeout(reply, one(&client, *addr)).await;
             let late = |_| Err(format!("no answer within {} ms", reply.as_millis()));
-            ((*host).clone(), answer.unwrap_or_else(late))
+            answer.unwrap_or_else(late)
         }
     });
     stream::iter(calls).buffered(AT_ONCE).collect().await
 }
 
-async fn one(client: &Client<HttpConnector, Empty<Bytes>>, host: &Host) -> Result<Status, Failure> {
-    let uri: Uri = format!("http://{}/v1/status", host.http)
+/// Asks `hosts` for their status; an answer of another host is a failure.
+pub async fn ask_all(hosts: &[&Host], reply: Duration) -> Vec<Result<Status, Failure>> {
+    let addrs: Vec<SocketAddr> = hosts.iter().map(|h| h.http).collect();
+    let answers = ask(&addrs, reply).await;
+    let checked = hosts
+        .iter()
+        .zip(answers)
+        .map(|(host, answer)| match answer {
+            Ok(status) if status.host != host.name => Err(format!(
+                "{} is {}, not {}",
+                host.http, status.host, host.name
+            )),
+            answer => answer,
+        });
+    checked.collect()
+}
+
+async fn one(
+    client: &Client<HttpConnector, Empty<Bytes>>,
+    addr: SocketAddr,
+) -> Result<Status, Failure> {
+    let uri: Uri = format!("http://{addr}/v1/status")
         .parse()
         .map_err(|e| format!("{e}"))?;
     let response = client.get(uri).await.map_err(|e| format!("{e}"))?;
     let status = response.status();
     let body = http::read(response.into_body(), LIMIT).await;
     let body = body.map_err(|e| e.to_string())?;
-    let status: Status = http::parse(&body).map_err(|e| format!("status {status}: {e}"))?;
-    if status.host == host.name {
-        return Ok(status);
-    }
-    Err(format!(
-        "{} is {}, not {}",
-        host.http, status.host, host.name
-    ))
+    http::parse(&body).map_err(|e| format!("status {status}: {e}"))
 }
 
 /// Returns the versions that `hosts` held at one moment.
@@ -63,11 +76,11 @@
 /// They are asked twice, and only a process that answered both times counts. So there is a
 /// moment, between the two rounds, at which all that are returned held their version.
 pub async fn held(hosts: &[&Host], reply: Duration) -> Map<String, Version> {
-    let first = ask(hosts, reply).await;
-    let second = ask(hosts, reply).await;
-    let pairs = first.into_iter().zip(second);
+    let first = ask_all(hosts, reply).await;
+    let second = ask_all(hosts, reply).await;
+    let pairs = hosts.iter().zip(first.into_iter().zip(second));
     pairs
-        .filter_map(|((host, a), (_, b))| {
+        .filter_map(|(host, (a, b))| {
             let (a, b) = (a.ok()?, b.ok()?);
             (a.incarnation == b.incarnation).then(|| (host.name.to_string(), a.version))
         })
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -72,7 +72,7 @@
             let wait = Duration::from_secs(*wait);
             planning::confirm(config, &store, plan, by, wait).await
         }
-        Command::Status => showing::status(config, &store).await,
+        Command::Status { hosts } => showing::status(config, &store, hosts).await,
         Command::History { count } => showing::history(config, &store, *count).await,
         Command::Explain { name } => showing::explain(config, &store, name).await,
     }
--- a/crates/ctl/src/showing.rs
+++ b/crates/ctl/src/showing.rs
@@ -1,5 +1,7 @@
 //! The commands `status`, `history` and `explain`.
 
+use std::net::SocketAddr;
+
 use rattanmast_model::{
     catalog::Service,
     config::{Config as Installation, Version},
@@ -36,54 +38,80 @@
     Ok(current)
 }
 
-/// Shows which configuration each host has.
+/// Shows which configuration each host has; asks only the hosts at `addrs` if there are any.
 ///
 /// # Errors
 ///
-/// If the platform does not answer.
-pub async fn status<S: Store>(config: &Config, store: &S) -> Result<Code> {
-    let current = in_force(store).await?;
-    let all: Vec<&Host> = current.hosts.iter().collect();
-    let answers = hosts::ask(&all, config.reply).await;
-    let lines: Vec<Line> = answers
-        .into_iter()
-        .map(|(host, answer)| {
-            let good = matches!(&answer, Ok(s) if s.serving && s.version >= current.version);
-            let (status, failure) = match answer {
-                Ok(status) => (Some(status), None),
-                Err(failure) => (None, Some(failure)),
-            };
-            let host = host.name;
-            Line {
-                host,
-                status,
-                failure,
-                good,
-            }
-        })
-        .collect();
+/// If the platform does not answer and `addrs` is empty.
+pub async fn status<S: Store>(config: &Config, store: &S, addrs: &[SocketAddr]) -> Result<Code> {
+    let (version, lines) = match addrs {
+        [] => {
+            let current = in_force(store).await?;
+            let hosts: Vec<&Host> = current.hosts.iter().collect();
+            let answers = hosts::ask_all(&hosts, config.reply).await;
+            let names = hosts.iter().map(|h| h.name.to_string());
+            (current.version, lines(names, answers, current.version))
+        }
+        addrs => {
+            let answers = hosts::ask(addrs, config.reply).await;
+            let newest = answers.iter().flatten().map(|s| s.version).max();
+            let newest = newest.unwrap_or_default();
+            let names = addrs.iter().map(ToString::to_string);
+            (newest, lines(names, answers, newest))
+        }
+    };
     let good = lines.iter().all(|l| l.good);
     if config.json {
         println!("{}", show::json(&lines)?);
     } else {
-        println!("version {} in the platform", current.version.0);
-        let titles = ["host", "version", "serves", "proof", "watcher", "platform"];
-        let mut rows = vec![titles.map(str::to_owned).to_vec()];
-        rows.extend(lines.iter().map(row));
-        let table = show::table(&rows);
-        for (i, line) in table.lines().enumerate() {
-            let bad = i > 0 && !lines[i - 1].good;
-            let line = if bad {
-                show::mark(false, line, config.color)
-            } else {
-                line.to_owned()
-            };
-            println!("{line}");
-        }
+        let whence = if addrs.is_empty() {
+            "platform"
+        } else {
+            "newest of these hosts"
+        };
+        println!("version {} ({whence})", version.0);
+        print(config, &lines);
     }
     Ok(if good { Code::Ok } else { Code::Behind })
 }
 
+fn lines(
+    names: impl Iterator<Item = String>,
+    answers: Vec<std::result::Result<Status, String>>,
+    newest: Version,
+) -> Vec<Line> {
+    let line = |(name, answer): (String, std::result::Result<Status, String>)| {
+        let good = matches!(&answer, Ok(s) if s.serving && s.version >= newest);
+        let (status, failure) = match answer {
+            Ok(status) => (Some(status), None),
+            Err(failure) => (None, Some(failure)),
+        };
+        let host = status
+            .as_ref()
+            .map_or_else(|| SmolStr::from(name), |s| s.host.clone());
+        Line {
+            host,
+            status,
+            failure,
+            good,
+        }
+    };
+    names.zip(answers).map(line).collect()
+}
+
+fn print(config: &Config, lines: &[Line]) {
+    let titles = ["host", "version", "serves", "proof", "watcher", "platform"];
+    let mut rows = vec![titles.map(str::to_owned).to_vec()];
+    rows.extend(lines.iter().map(row));
+    let table = show::table(&rows);
+    for (i, text) in table.lines().enumerate() {
+        match i.checked_sub(1).and_then(|i| lines.get(i)) {
+            Some(line) if !line.good => println!("{}", show::mark(false, text, config.color)),
+            _ => println!("{text}"),
+        }
+    }
+}
+
 fn row(line: &Line) -> Vec<String> {
     let Some(status) = &line.status else {
         let failure = line.failure.clone().unwrap_or_default();
--- a/crates/state/src/accept.rs
+++ b/crates/state/src/accept.rs
@@ -77,13 +77,13 @@
         age_ms: u64,
     },
     /// The platform did not answer; nothing was written.
-    #[snafu(display("nothing was written: {source}"))]
+    #[snafu(display("{source}; nothing was written"))]
     Unwritten {
         /// Why.
         source: store::Error,
     },
     /// The platform did not answer after a write may have taken effect.
-    #[snafu(display("plan may have taken effect; run the same confirm again: {source}"))]
+    #[snafu(display("{source}; the plan may have taken effect: run the same confirm again"))]
     Unsettled {
         /// Why.
         source: store::Error,
--- a/crates/state/src/watching.rs
+++ b/crates/state/src/watching.rs
@@ -64,7 +64,12 @@
         if none {
             // Peers are asked first, so that a fleet that starts does not flood the platform.
             if alone > 0 || !settings.seeds.is_empty() {
-                sleep(backoff(node, waits, alone)).await;
+                let wait = sleep(backoff(node, waits, alone));
+                let mut view = node.view();
+                tokio::select! {
+                    () = wait => {}
+                    _ = view.changed() => {}
+                }
             }
             alone += 1;
             if node.lock().config().version.0 == 0 {
