Count recovery in windows of 500 ms

Cause: in 100 ms two queries that are partial without any fault look like a loss. Change: the lost share is judged in windows of 500 ms.

--- a/crates/measure/src/recovery.rs
+++ b/crates/measure/src/recovery.rs
@@ -7,6 +7,11 @@
 use crate::tally::Sample;
 
 /// The width of the windows in which answers are counted.
+///
+/// One of 100 ms holds 48 queries, and two that are partial without any fault make 1% of it.
+const WINDOW: Duration = Duration::from_millis(500);
+
+/// The time between the moments at which the percentile is taken.
 const STEP: Duration = Duration::from_millis(100);
 
 /// The share of the lost host's keys in answers at which its share is served.
@@ -22,7 +27,7 @@
 ///
 /// It is infinite if the last window has not.
 pub fn served(samples: &[Sample]) -> f64 {
-    let window = |s: &Sample| (s.at.as_micros() / STEP.as_micros()) as usize;
+    let window = |s: &Sample| (s.at.as_micros() / WINDOW.as_micros()) as usize;
     let Some(last) = samples.iter().map(window).max() else {
         return f64::NAN;
     };
@@ -35,7 +40,7 @@
     let bad = |(all, share): &(u32, f64)| *share < SERVED * f64::from(*all);
     match counts.iter().rposition(bad) {
         Some(index) if index == last => f64::INFINITY,
-        Some(index) => (index + 1) as f64 * STEP.as_secs_f64(),
+        Some(index) => (index + 1) as f64 * WINDOW.as_secs_f64(),
         None => 0.0,
     }
 }
