Keep floors and goodput in floods of whole queries

Intake was held to the leaf's slots, too few with the network's delay. Hedges went to a leaf far slower than the one they were to rescue.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -33,8 +33,8 @@
     ) -> Option<usize>;
 }
 
-/// How much worse a free replica may be than waiting for a better one.
-const WORSE: f64 = 2.0;
+/// How much worse a replica may be than the best one to get a request in its place.
+pub(crate) const WORSE: f64 = 2.0;
 
 /// The replica with the least expected latency, given its queue and its failures.
 #[derive(Debug)]
--- a/crates/dispatch/src/hedge.rs
+++ b/crates/dispatch/src/hedge.rs
@@ -49,13 +49,14 @@
     }
 
     /// A scarce budget is kept for the slowest requests, an ample one is used earlier, most of
-    /// all when the whole query waits for its last parts.
-    fn level(&self, _rank: Rank, open: Open) -> Option<Level> {
+    /// all for urgent work and when the whole query waits for its last parts.
+    fn level(&self, rank: Rank, open: Open) -> Option<Level> {
         let last = open.start > 1 && open.now * 4 <= open.start;
+        let early = rank == Rank::Urgent || last;
         Some(match self.credit / BURST {
-            c if c > 0.5 && last => Level::P90,
-            c if c > 0.5 => Level::P95,
-            c if c > 0.2 => Level::P97,
+            c if c > 0.5 && early => Level::P90,
+            c if c > 0.5 || (c > 0.2 && early) => Level::P95,
+            c if c > 0.2 || early => Level::P97,
             _ => Level::P99,
         })
     }
--- a/crates/dispatch/src/lanes.rs
+++ b/crates/dispatch/src/lanes.rs
@@ -6,6 +6,11 @@
 /// Time at leafs that a rank may save up towards its floor, in requests.
 const SAVED: f64 = 3.0;
 
+/// What a rank is given for each part of its floor.
+///
+/// It cannot use its floor in the moments in which none of its work waits.
+const MORE: f64 = 1.05;
+
 /// Orders the work of one service.
 pub trait Lanes: Send + 'static {
     /// Whether requests are refused or dropped as soon as they cannot be in time.
@@ -63,14 +68,13 @@
         lanes
     }
 
-    /// Less urgent work leaves room beyond the leaf's slots, so that urgent work finds no queue
-    /// at the leaf; work below its floor may use that room too.
+    /// Less urgent work leaves the last place beyond the leaf's slots free, so that urgent work
+    /// finds a short queue at the leaf; work below its floor may use that place too.
     fn cap(&self, lane: usize, owed: bool, limit: u32, slots: u32) -> u32 {
-        match lane {
-            0 => limit,
-            _ if owed => limit,
-            1 => limit.min(slots.max(limit - limit / 4)),
-            _ => limit.min(slots),
+        if lane == 0 || owed {
+            limit
+        } else {
+            limit.min(slots.max(limit.saturating_sub(1)))
         }
     }
 
@@ -79,7 +83,7 @@
             self.cost += 0.05 * (time - self.cost);
         }
         for r in Rank::ALL {
-            self.credit[r.index()] += self.floors.of(r) * time;
+            self.credit[r.index()] += MORE * self.floors.of(r) * time;
         }
         self.credit[rank.index()] -= time;
         let most = SAVED * self.cost.max(time);
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -116,7 +116,8 @@
         };
         self.reference += weight * (sample - self.reference);
         let ratio = self.short / self.reference;
-        let saturated = f64::from(in_flight) + 1.0 > self.limit;
+        // Less urgent work leaves the last place free.
+        let saturated = f64::from(in_flight) + 2.0 > self.limit;
         if ratio > CONGESTED {
             self.limit = (self.limit * 0.98).max(1.0);
         } else if ratio < CALM && saturated {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -84,6 +84,11 @@
         self.counted = self.counted.saturating_sub(1);
     }
 
+    /// Tells whether there is neither a connection in use nor room for one.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.counted >= self.share && self.counted == self.ending
+    }
+
     pub(crate) fn has_idle(&self) -> bool {
         !self.idle.is_empty()
     }
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -62,7 +62,7 @@
 
     /// Tells whether the leaf may get work at all, as far as is known.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
-        self.allowed(now) > 0
+        self.allowed(now) > 0 && !self.pool.is_exhausted()
     }
 
     /// Tells whether the place in the arena may be given to another leaf.
--- a/crates/dispatch/src/search.rs
+++ b/crates/dispatch/src/search.rs
@@ -250,10 +250,14 @@
             return Hedged::Again(None);
         };
         let (service, rank) = (self.service, self.message.rank);
-        let others = self.eligible & !(1 << first.replica);
         let (now, waited) = (Instant::now(), first.sent.elapsed());
-        let queued = service.lock().waits(now)[rank.index()];
-        let token = (queued < waited / 2).then(|| Token::take(service, rank));
+        let (queued, rescuers) = {
+            let state = service.lock();
+            (state.waits(now)[rank.index()], state.rescuers(now))
+        };
+        let others = rescuers & self.eligible & !(1 << first.replica);
+        let worth = others != 0 && queued < waited / 2;
+        let token = worth.then(|| Token::take(service, rank));
         let Some(Some(token)) = token else {
             return Hedged::Again(self.hedge_at(now));
         };
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    choice::{Choice, View},
+    choice::{self, Choice, View},
     hedge::Hedge,
     lanes::Lanes,
     latency::Level,
@@ -27,6 +27,9 @@
 /// Waiting requests of a lane that are looked at for one that a free leaf may take.
 const SCAN: usize = 8;
 
+/// Waiting requests that are a reason to use the last connection of the share.
+const QUEUE: u32 = 2;
+
 /// The most leafs of a service: a bit each in a set.
 const LEAFS: usize = 64;
 
@@ -165,8 +168,8 @@
             return 0;
         }
         let waiting = self.queue.len();
-        // The last connection replaces silent ones; only a long queue is a reason to use it.
-        let most = if waiting >= 2 * share {
+        // The last connection replaces silent ones; only a queue is a reason to use it.
+        let most = if waiting >= QUEUE {
             share
         } else {
             (share.saturating_sub(1)).max(self.role.limits.slots.min(share))
@@ -265,6 +268,16 @@
         means.min_by(f64::total_cmp).unwrap_or(1e-3)
     }
 
+    /// Returns the replicas that a hedge may go to: a far slower one would not be done before.
+    pub(crate) fn rescuers(&self, now: Instant) -> u64 {
+        let most = choice::WORSE * self.prior();
+        let quick = |r: &Replica<C::Link, P::Limit>| {
+            r.is_usable(now) && r.latency.expected(most / choice::WORSE, now) <= most
+        };
+        let bit = |(i, r)| u64::from(quick(r)) << i;
+        self.replicas.iter().enumerate().map(bit).sum()
+    }
+
     /// Chooses the leaf for a request from `lane`; `None` if it has to wait.
     pub(crate) fn choose(
         &mut self,
