Refuse earlier at the root than dispatchers do

Cause: the ramp of refusals (from 50% to 80% of the time left) met its balance where dispatchers refuse already, so that parts of many queries ran for nothing. Change: the ramp is 20% to 40%.

--- a/crates/gather/src/settings.rs
+++ b/crates/gather/src/settings.rs
@@ -46,9 +46,10 @@
             move_delay: Duration::from_millis(5),
             retry_share: 0.1,
             retry_burst: 20.0,
-            soft_wait: 0.5,
-            // The rest is for the search itself and both ways.
-            hard_wait: 0.8,
+            // Dispatchers refuse from about two thirds on, after other parts of the query
+            // have begun. The root refuses well before, because its reports are late.
+            soft_wait: 0.2,
+            hard_wait: 0.4,
             probe: Duration::from_millis(100),
         }
     }
