--- a/crates/gather/tests/policies.rs
+++ b/crates/gather/tests/policies.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Mode, World, query, service};
+use common::{BLADES, Mode, World, query, service};
 use rattanmast_gather::{
     Settings,
     admit::{Admission as _, Open, Waits},
@@ -194,6 +194,41 @@
     );
 }
 
+/// Guards against pinning a snapshot that only leaving leafs hold, whoever says that they leave,
+/// and against a leaf that stays excluded for ever after it said so once.
+#[tokio::test(start_paused = true)]
+async fn the_newest_snapshot_on_staying_leafs_is_pinned() {
+    let mut world = World::new(1);
+    world.data.publish(BLADES);
+    world.fleet.load(&world.data);
+    let leaf = world.data.leafs.leafs[0].name.clone();
+    world.data.catalogs[0].versions[1].parts[0].leafs = vec![leaf.clone()];
+    world.apply();
+    let pinned = async |world: &World| {
+        let result = world
+            .root
+            .query(query(Rank::Urgent, 500, 1.0, Priority::Time))
+            .await;
+        result.expect("both snapshots are held").snapshot.0
+    };
+    assert_eq!(pinned(&world).await, 2);
+    let report = Report {
+        waits: Vec::new(),
+        leaving: vec![leaf.clone()],
+    };
+    world.root.report(&world.dispatcher(0), report);
+    assert_eq!(
+        (pinned(&world).await, world.root.leaving()),
+        (1, vec![leaf])
+    );
+    sleep(30_000 * MS).await;
+    world.apply();
+    assert_eq!((pinned(&world).await, world.root.leaving()), (2, vec![]));
+    world.data.leafs.leafs[0].state = host::State::Leaving;
+    world.apply();
+    assert_eq!(pinned(&world).await, 1);
+}
+
 /// Guards against sub-queries that go on after the caller has gone.
 #[tokio::test(start_paused = true)]
 async fn dropping_a_query_cancels_it() {
