Ask again where a reply part was rejected

Cause: ranges of a rejected part were taken for moved data. They were looked for elsewhere first, and rows over the limit were asked for up to 4 times. Change: the same service is asked for what is left of them, at most 4 times and from the budget; rows over the limit are given up at once.

--- a/crates/gather/src/attempt.rs
+++ b/crates/gather/src/attempt.rs
@@ -264,12 +264,15 @@
         });
         let items = &open.kept.items;
         let asked = Set::of(items.iter().flat_map(|i| i.ask.ranges.iter().copied()));
+        let (mut rejected, mut full) = (Set::new(), false);
         for part in reply.parts {
-            let range = part.range;
+            let (range, rows) = (part.range, part.rows.len());
             if self.cover.accept(part, &asked) {
                 self.lost.remove(range);
             } else {
                 shared.counters.rejected.add(1);
+                full |= !self.cover.fits(rows);
+                rejected.insert(range);
             }
         }
         self.enough = self.enough || self.reached();
@@ -287,7 +290,11 @@
                 .iter()
                 .filter(|m| m.service == item.ask.service);
             let cause = misses.map(|m| &m.cause).max_by_key(|cause| weight(cause));
-            self.missed(item, cause, &open.host, &mut retries);
+            if item.ask.ranges.iter().any(|r| rejected.overlaps(*r)) {
+                self.rejected(item, full, &mut retries);
+            } else {
+                self.missed(item, cause, &open.host, &mut retries);
+            }
         }
         self.later(retries, self.jitter());
     }
--- a/crates/gather/src/cover.rs
+++ b/crates/gather/src/cover.rs
@@ -39,7 +39,7 @@
             && !self.overlaps(part.range)
             && rows <= part.records
             && part.rows.iter().all(|row| part.range.contains(row.key))
-            && self.rows.len() + part.rows.len() <= self.limit;
+            && self.fits(part.rows.len());
         if sound {
             self.keys.insert(part.range);
             self.accepted.push((part.range, part.records));
@@ -49,6 +49,11 @@
         sound
     }
 
+    /// Tells whether `rows` more rows are within the limit.
+    pub const fn fits(&self, rows: usize) -> bool {
+        self.rows.len() + rows <= self.limit
+    }
+
     /// Returns the accepted ranges that end after `key`, in ascending order.
     fn after(&self, key: u64) -> &[Range] {
         let ranges = self.keys.ranges();
--- a/crates/gather/src/missed.rs
+++ b/crates/gather/src/missed.rs
@@ -13,7 +13,7 @@
 
 use crate::{attempt::Attempt, flight::Item, pin, place, policy::Policy, run::Step};
 
-/// How often moved data is looked for before its ranges are given up.
+/// How often moved or rejected data is asked for again before its ranges are given up.
 const MOVES: u32 = 4;
 
 impl<P: Peers, Y: Policy> Attempt<'_, '_, P, Y> {
@@ -43,6 +43,20 @@
         }
     }
 
+    /// Asks again where a part was rejected, unless the root is `full`.
+    ///
+    /// A part that overlaps an accepted one is right about the rest of its keys,
+    /// so the same service is asked for these.
+    pub(crate) fn rejected(&mut self, mut item: Item, full: bool, retries: &mut Vec<Item>) {
+        item.moves += 1;
+        item.charged = true;
+        if full || item.moves > MOVES {
+            self.lose(&item, Reason::Overload);
+        } else {
+            retries.push(item);
+        }
+    }
+
     /// Restarts at a newer snapshot if there is one and time for it.
     pub(crate) fn gone(&mut self, item: &Item, holds: &[Snapshot]) {
         let view = self.run.shared.view();
--- a/crates/gather/tests/policies.rs
+++ b/crates/gather/tests/policies.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{BLADES, Mode, World, query, service};
+use common::{BLADES, Mode, World, check, query, service};
 use rattanmast_gather::{
     Settings,
     admit::{Admission as _, Open, Waits},
@@ -229,6 +229,26 @@
     assert_eq!(pinned(&world).await, 1);
 }
 
+/// Guards against rows beyond the limit of memory, and against asking for them again.
+#[tokio::test(start_paused = true)]
+async fn rows_are_bounded() {
+    let world = World::standard(
+        1,
+        Settings {
+            rows: 400,
+            ..Settings::default()
+        },
+    );
+    let result = world
+        .root
+        .query(query(Rank::Urgent, 200, 0.1, Priority::Coverage))
+        .await;
+    let answer = result.expect("some rows fit");
+    check(&answer);
+    assert!(answer.rows.len() <= 400 && !answer.missing.is_empty());
+    assert_eq!(world.root.stats().retries, 0);
+}
+
 /// Guards against sub-queries that go on after the caller has gone.
 #[tokio::test(start_paused = true)]
 async fn dropping_a_query_cancels_it() {
