Read the claim log at most once a second for look-ups

Cause: each look-up of a key that the claimer did not know read the whole log. Change: a log that was read serves look-ups for a second, then its memory is freed.

--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -11,6 +11,7 @@
 mod log;
 mod orders;
 mod partition;
+mod reader;
 mod record;
 mod refusal;
 mod root;
--- a/crates/order/src/orders.rs
+++ b/crates/order/src/orders.rs
@@ -29,6 +29,7 @@
     ledger::{Ending, Entered, Ledger},
     log::{Access, Moment},
     partition::{Answer, Handle, Partition},
+    reader::Reader,
     record::{Holder, RESULT_LIMIT, Record, State},
     refusal,
     send::{self, Right},
@@ -82,8 +83,7 @@
     pub(crate) settings: Settings,
     pub(crate) sequence: request::Sequence,
     pub(crate) counters: Arc<Counters>,
-    /// Reads the log for look-ups, one at a time.
-    pub(crate) readers: Vec<tokio::sync::Mutex<Access<S>>>,
+    pub(crate) readers: Vec<Arc<tokio::sync::Mutex<Reader<S>>>>,
     config: RwLock<Arc<Config>>,
     ledger: Arc<Mutex<Ledger>>,
     inbox: Mutex<Inbox>,
@@ -142,7 +142,7 @@
         let inner = Inner {
             sequence: request::Sequence::new(&me, incarnation),
             partitions: partitions.collect(),
-            readers: (0..PARTITIONS).map(|p| access(p).into()).collect(),
+            readers: (0..PARTITIONS).map(|p| Reader::new(access(p))).collect(),
             config: RwLock::default(),
             ledger: Arc::clone(&ledger),
             inbox: Inbox::new(incarnation).into(),
--- a/crates/order/src/root.rs
+++ b/crates/order/src/root.rs
@@ -15,6 +15,7 @@
 use crate::{
     key::{self, Identity},
     orders::{ASK, Orders, Submit, recorded},
+    reader::Reader,
     record::{Holder, State},
     refusal, send,
     ticket::{self, Ticket},
@@ -194,21 +195,17 @@
     /// Reads the outcome from the claim log, and asks the claim's holder if it has none.
     async fn read_log(&self, caller: &str, key: &str) -> Option<Outcome> {
         let id = Identity::new(caller, key);
-        let loaded = {
-            let access = self.inner.readers[usize::from(id.partition())].lock().await;
-            access.load().await
-        };
-        let Ok((_, table)) = loaded else {
+        let reader = &self.inner.readers[usize::from(id.partition())];
+        let Ok(found) = Reader::find(reader, id).await else {
             return Some(refusal::unknown(
                 "the platform's store does not answer; ask again later",
             ));
         };
-        let entry = table.get(id)?;
-        let Holder(host, incarnation) = table.holder(entry);
-        if entry.state != State::Open || self.inner.peers.incarnation(host) != Some(*incarnation) {
-            return Some(recorded(entry.state.clone()));
+        let (state, Holder(host, incarnation)) = found?;
+        if state != State::Open || self.inner.peers.incarnation(&host) != Some(incarnation) {
+            return Some(recorded(state));
         }
-        let answer = self.ask_host(host, caller, key).await;
+        let answer = self.ask_host(&host, caller, key).await;
         Some(answer.ok().flatten().unwrap_or_else(refusal::in_progress))
     }
 }
--- a/crates/order/tests/orders/claims.rs
+++ b/crates/order/tests/orders/claims.rs
@@ -485,3 +485,23 @@
     let next = uuid(world.true_ms(), 8);
     assert_eq!(submit(&world, root, &next).await.name(), "done");
 }
+
+/// Guards against look-ups of unknown keys that read the whole log each time.
+#[tokio::test(start_paused = true)]
+async fn look_ups_do_not_flood_the_platform() {
+    let world = world(Mutation::None);
+    let key = uuid(world.true_ms(), 7);
+    assert_eq!(submit(&world, 0, &key).await.name(), "done");
+    sleep(Duration::from_secs(2)).await;
+    let partition = Identity::new("a", &key).partition();
+    let keys = (0..).map(|n| uuid(world.true_ms(), 1000 + n));
+    let keys = keys.filter(|k| Identity::new("a", k).partition() == partition);
+    let before: u64 = world.lock().calls.values().sum();
+    for key in keys.take(100) {
+        assert_eq!(process(&world, 1).outcome("a", &key).await, None);
+    }
+    let reads = world.lock().calls.values().sum::<u64>() - before;
+    assert!(reads <= 6, "{reads} calls for 100 look-ups within a second");
+    let found = process(&world, 1).outcome("a", &key).await;
+    assert!(matches!(found, Some(Outcome::Done { .. })), "{found:?}");
+}
