Order the views; test proof against requests and restarted watchers

Cause: two threads could publish views in the wrong order, so a view could go back; two mutations passed all tests: proof taken from requests, and statements of uninformed watchers counted.

--- a/crates/state/src/node.rs
+++ b/crates/state/src/node.rs
@@ -50,6 +50,7 @@
     pub work: mpsc::Sender<Work>,
     state: Mutex<State>,
     view: watch::Sender<Arc<View>>,
+    publishing: Mutex<()>,
     inbox: Mutex<Option<mpsc::Receiver<Work>>>,
 }
 
@@ -76,6 +77,7 @@
                 work,
                 state: Mutex::new(state),
                 view,
+                publishing: Mutex::new(()),
                 inbox: Mutex::new(Some(inbox)),
             }),
         }
@@ -229,8 +231,13 @@
 
     /// Shows what is known now to those who look at [`Node::view`].
     pub(crate) fn publish(&self) {
+        // Without this lock, a thread that took an older view could replace a newer one. It is
+        // not the state's lock, which readers may take while they borrow the view.
+        let order = self.shared.publishing.lock();
+        let order = order.unwrap_or_else(PoisonError::into_inner);
         let view = Arc::new(self.lock().table.view().clone());
         self.shared.view.send_replace(view);
+        drop(order);
     }
 
     pub(crate) fn queue(&self, work: Work) {
--- a/crates/state/tests/propagation.rs
+++ b/crates/state/tests/propagation.rs
@@ -6,7 +6,9 @@
 use rattanmast_fakes::store::Faults;
 use rattanmast_model::{
     config::{self, Config},
-    host::Host,
+    exchange::{Confirmed, Digest, Message, Source},
+    host::{Host, Incarnation},
+    store,
 };
 use rattanmast_state::accept;
 use tokio::time::Instant;
@@ -189,6 +191,52 @@
     assert!(took.is_some());
 }
 
+/// Guards against counting watchers that were restarted during an outage: their last process runs
+/// may have helped to accept a configuration that nobody who is left has.
+#[tokio::test(start_paused = true)]
+async fn restarted_majority_proves_nothing() {
+    let mut fleet = ready(9, 10).await;
+    outage(&fleet, true);
+    (0..5).for_each(|i| fleet.kill(i));
+    seconds(4).await;
+    (0..5).for_each(|i| fleet.start(i));
+    for _ in 0..200 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!(0..9).any(|i| fleet.serving(i)));
+    }
+    assert!(fleet.all_have(1), "hosts did not fetch the configuration");
+    outage(&fleet, false);
+    let took = fleet.until(LIMIT, Fleet::all_serve).await;
+    assert!(took.is_some());
+}
+
+/// Guards against proof by a message that may have been on its way for any time.
+#[tokio::test(start_paused = true)]
+async fn confirmation_in_a_request_is_no_proof() {
+    let fleet = ready(9, 11).await;
+    fleet.side(0, 1);
+    fleet.store.cut(&fleet.hosts[0].name, true);
+    seconds(4).await;
+    let now = Confirmed {
+        version: store::Version(1),
+        age_ms: 0,
+        source: Source::Platform,
+    };
+    for host in &fleet.hosts[1..] {
+        let digest = Digest {
+            host: host.name.clone(),
+            incarnation: Incarnation(u64::MAX),
+            informed: true,
+            object: store::Version(1),
+            confirmed: Some(now),
+            ..Digest::default()
+        };
+        fleet.nodes[0].handle(Message::Exchange(digest)).await;
+    }
+    seconds(2).await;
+    assert!(!fleet.serving(0));
+}
+
 /// Guards against a host that resumes after a pause and serves with the proof from before.
 #[tokio::test(start_paused = true)]
 async fn paused_host_needs_new_proof() {
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -78,3 +78,31 @@
     let got = Client::new().call(addr, message, LIMIT).await;
     assert!(matches!(got, Err(peer::Error::Connect { .. })));
 }
+
+/// Guards against traffic figures that leave out what tarpc adds to each message; the in-memory
+/// network of `crates/state/tests/support` counts 48 bytes for a call and 12 for a reply.
+#[test]
+fn framing_is_as_counted() {
+    use bincode::Options as _;
+    use rattanmast_wire::exchange::{ExchangeRequest, ExchangeResponse};
+    use tarpc::{ClientMessage, Request, Response};
+    let size = |bytes: bincode::Result<u64>| bytes.unwrap();
+    let options = bincode::options();
+    let digest = Digest::default();
+    let request = ClientMessage::Request(Request {
+        context: tarpc::context::current(),
+        id: u64::from(u32::MAX),
+        message: ExchangeRequest::Exchange {
+            digest: digest.clone(),
+        },
+    });
+    let response = Response {
+        request_id: u64::from(u32::MAX),
+        message: Ok(ExchangeResponse::Exchange(digest.clone())),
+    };
+    // A frame begins with its length, in 4 bytes.
+    let plain = size(options.serialized_size(&Message::Exchange(digest.clone())));
+    assert!(size(options.serialized_size(&request)) + 4 - plain <= 48);
+    let plain = size(options.serialized_size(&Reply::Digest(digest)));
+    assert!(size(options.serialized_size(&response)) + 4 - plain <= 12);
+}
