Ask another replica for what the first one lacks

Cause: a test with real processes waited 60 s in vain for a whole answer. A replica that lacks its data answers fastest, so it is chosen again for every repeat of the root, and answers stay below the least coverage although another replica of the service has all the data. Change: the dispatcher accepts the parts that came and asks one other replica for the rest. Where data has moved to another service this costs at most one request more per ask. What came before a deadline is kept. Conclusion: the empty replica still gets its share of first requests; a memory of what replicas lack would save these, and is left open.

--- a/crates/dispatch/src/search.rs
+++ b/crates/dispatch/src/search.rs
@@ -36,7 +36,6 @@
 pub(crate) struct Search<'a, C: Connector, P: Policy> {
     service: &'a Arc<Service<C, P>>,
     message: &'a Subquery,
-    ask: &'a Ask,
     deadline: Instant,
     progress: &'a Progress,
     /// At most one first try and one hedge.
@@ -44,6 +43,10 @@
     /// Leafs that may be asked, a bit each.
     eligible: u64,
     holds: Option<Vec<Snapshot>>,
+    /// What is still to be found.
+    missing: range::Set,
+    /// Whether a leaf lacked some of the keys.
+    lacked: bool,
     repeats: u32,
     shed: bool,
     asked: Asked,
@@ -61,12 +64,13 @@
         Self {
             service,
             message,
-            ask,
             deadline,
             progress,
             attempts: [None, None],
             eligible,
             holds: None,
+            missing: range::Set::of(ask.ranges.iter().copied()),
+            lacked: false,
             repeats: 0,
             shed: false,
             asked: Asked::default(),
@@ -84,29 +88,21 @@
         };
         // What is still at a leaf may have begun there.
         self.asked.begun |= self.attempts.iter().any(Option::is_some);
-        match result {
-            Ok(found) => self.accept(found.parts),
-            Err(cause) => self.asked.miss = Some(cause),
-        }
+        self.asked.miss = result.err();
         self.asked
     }
 
     /// Accepts parts that lie in the asked ranges and do not overlap.
     fn accept(&mut self, parts: Vec<leaf::Part>) {
-        let mut got = range::Set::new();
         for part in parts {
-            let asked = self.ask.ranges.iter().any(|r| r.covers(part.range));
-            if asked && !part.range.is_empty() && !got.overlaps(part.range) {
-                got.insert(part.range);
+            if !part.range.is_empty() && self.missing.covers(part.range) {
+                self.missing.remove(part.range);
                 self.asked.parts.push(part);
             }
         }
-        if !self.ask.ranges.iter().all(|r| got.covers(*r)) {
-            self.asked.miss = Some(Cause::Moved);
-        }
     }
 
-    async fn find(&mut self) -> Result<leaf::Found, Cause> {
+    async fn find(&mut self) -> Result<(), Cause> {
         let lease = self.acquire().await?;
         self.service.lock().hedge.earn();
         self.start(lease);
@@ -127,7 +123,11 @@
             match end {
                 End::Found(found) => {
                     self.asked.begun = true;
-                    return Ok(found);
+                    self.accept(found.parts);
+                    if self.missing.is_empty() {
+                        return Ok(());
+                    }
+                    self.lacking(replica).await?;
                 }
                 End::GivenUp => {
                     self.asked.begun = true;
@@ -163,7 +163,7 @@
             id: self.service.shared.ids.next(),
             collection: self.message.collection.clone(),
             snapshot: self.message.snapshot,
-            ranges: self.ask.ranges.clone(),
+            ranges: self.missing.ranges().to_vec(),
             text: self.message.text.clone(),
             rank: self.message.rank,
             budget_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
@@ -221,6 +221,23 @@
         Ok(())
     }
 
+    /// Goes on after a leaf that lacks some of the keys: one other leaf is asked for the rest.
+    ///
+    /// A leaf that lags behind answers fastest, so the root's repeats would go to it too. Where
+    /// the data has moved to another service no leaf has it, so more than one is not asked.
+    async fn lacking(&mut self, replica: usize) -> Result<(), Cause> {
+        self.eligible &= !(1 << replica);
+        if self.is_waiting() {
+            return Ok(());
+        }
+        let others = self.service.lock().usable(Instant::now()) & self.eligible != 0;
+        if self.lacked || !others {
+            return Err(Cause::Moved);
+        }
+        self.lacked = true;
+        self.repeat().await.map_err(|_| Cause::Moved)
+    }
+
     fn open(&self) -> Open {
         Open {
             start: self.message.open,
--- a/crates/dispatch/tests/replies.rs
+++ b/crates/dispatch/tests/replies.rs
@@ -124,6 +124,26 @@
     assert!(!reply.begun);
 }
 
+/// Guards against a replica that holds none of its data, answers fastest and so attracts all searches.
+#[tokio::test(start_paused = true)]
+async fn what_one_replica_lacks_is_asked_of_another() {
+    let bench = Bench::new(2, model::Settings::default(), 1);
+    let dispatcher = bench.dispatcher(0).await;
+    bench.leaf(0).hold([(Snapshot(1), Set::new())]);
+    for _ in 0..50 {
+        let reply = dispatcher
+            .subquery(bench.subquery(Rank::Routine, 200))
+            .await;
+        assert!(whole(&reply), "{reply:?}");
+    }
+    bench.leaf(1).hold([(Snapshot(1), Set::new())]);
+    let reply = dispatcher
+        .subquery(bench.subquery(Rank::Routine, 200))
+        .await;
+    assert_eq!(reply.misses[0].cause, Cause::Moved);
+    assert_eq!(reply.sent, 2);
+}
+
 /// Guards against what was learned of a leaf's last process being used for the next one.
 #[tokio::test(start_paused = true)]
 async fn a_restarted_leaf_starts_cold() {
