Let the limit grow only while the leaf's queue stays short

Cause: with 2% stragglers the limit grew until two requests waited at each leaf, where urgent ones cannot go first.

Change: the limit grows below 1.2 times the unloaded latency (1.5 before) and shrinks above 1.6 times (2.0 before): enough to cover the network's delay.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -40,9 +40,9 @@
 /// The reference follows a lasting change of the leaf itself, slowly.
 const LEAK: f64 = 0.001;
 /// Latency over the reference below which the limit grows.
-const CALM: f64 = 1.5;
+const CALM: f64 = 1.2;
 /// Latency over the reference above which the limit shrinks.
-const CONGESTED: f64 = 2.0;
+const CONGESTED: f64 = 1.6;
 /// Shortest time between two reductions for sheds or failures: they come in groups.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Replies at each step of the growth from a cold start, for each request in flight.
