--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -42,7 +42,7 @@
             abandon: Duration::from_secs(30),
             retire: Duration::from_millis(1_500),
             idle: Duration::from_secs(10),
-            headroom: 1.1,
+            headroom: 1.2,
             everyone: false,
             wall: Wall::System,
         }
