Answer unknown to a copy of an order at the dispatcher

Cause: a dispatcher answered not run to a duplicated message and to any message for an earlier process run, although a first copy may have run. Ruled out: duplicates over tonic are not expected, but the promise has to hold for them too. Change: the inbox of crate `order` moves to crate `model` and guards both the claimer and the dispatcher; the dispatcher's own list of seen messages is removed. Conclusion: one rule for both receivers of orders.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -14,6 +14,7 @@
     config::{Config, Priority},
     hash::{self, Map},
     host,
+    inbox::Inbox,
     leaf::{self, Connector},
     outcome::{Outcome, Reason},
     peer::{self, Ask, Cause, Miss, Report, Step, Subquery, Subreply},
@@ -33,7 +34,6 @@
     policy::{Adaptive, Plain, Policy},
     progress::Progress,
     search::{Asked, Search},
-    seen::Seen,
     service::{Service, Shared},
     state::Role,
     stats::Counters,
@@ -52,7 +52,7 @@
     shared: Arc<Shared<C>>,
     services: RwLock<Arc<Map<SmolStr, Collection<C, P>>>>,
     assignment: Mutex<Assignment>,
-    seen: Mutex<Seen>,
+    inbox: Mutex<Inbox>,
     ticking: AtomicBool,
     in_hand: AtomicUsize,
     idle: Notify,
@@ -143,7 +143,7 @@
                 shared: Arc::new(shared),
                 services: RwLock::default(),
                 assignment: Mutex::default(),
-                seen: Mutex::default(),
+                inbox: Mutex::new(Inbox::new(incarnation)),
                 ticking: AtomicBool::new(false),
                 in_hand: AtomicUsize::new(0),
                 idle: Notify::new(),
@@ -378,21 +378,14 @@
 
     /// Checks an order, and chooses the service that takes it.
     fn admit(&self, message: &peer::Order) -> Result<(Arc<Service<C, P>>, Instant), Outcome> {
-        if message.target != self.incarnation {
-            let remedy = "the order was sent to an earlier run of the host; try again";
-            return Err(not_run(Reason::Unreachable, remedy));
-        }
+        // Entered first: a message that is refused below must not be accepted when a copy of it
+        // arrives later, and a copy must not be called not run when the first one may have run.
+        lock(&self.inbox).admit(message)?;
         if message.step != Step::Dispatch {
             let remedy = "the order has to be claimed first; send it to the claimer";
             return Err(not_run(Reason::Invalid, remedy));
         }
         let now = Instant::now();
-        let wall = self.shared.settings.wall.now_ms();
-        let left = Duration::from_millis(message.not_after_ms.saturating_sub(wall));
-        if !lock(&self.seen).accept(message.id, left, now) {
-            let remedy = "the message was accepted before; its first copy has the outcome";
-            return Err(not_run(Reason::Refused, remedy));
-        }
         if !self.shared.is_serving() {
             let remedy = "the host cannot prove its configuration; try another host";
             return Err(not_run(Reason::Stale, remedy));
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,7 +23,6 @@
 mod queue;
 mod replica;
 mod search;
-mod seen;
 mod service;
 mod settings;
 mod state;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod exchange;
 pub mod hash;
 pub mod host;
+pub mod inbox;
 pub mod leaf;
 pub mod outcome;
 pub mod peer;
--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -38,6 +38,11 @@
     },
 }
 
+/// Time for which a claim gives the right to send its order, in milliseconds.
+///
+/// [`Order::not_after_ms`] of a claimed order is at most this long after the claim.
+pub const CLAIM_TTL_MS: u64 = 2_000;
+
 /// The part of a query that one dispatcher serves.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Subquery {
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -5,7 +5,6 @@
 //! the order is sent to a leaf; a ticket is redeemed by the process that issued it.
 
 pub mod clock;
-pub mod inbox;
 pub mod key;
 mod ledger;
 mod log;
--- a/crates/order/src/orders.rs
+++ b/crates/order/src/orders.rs
@@ -12,6 +12,7 @@
     config::Config,
     hash::mix,
     host,
+    inbox::Inbox,
     outcome::{Outcome, Reason},
     peer::{self, Peers},
     rank::Rank,
@@ -24,7 +25,6 @@
 use tokio_util::task::TaskTracker;
 
 use crate::{
-    inbox::Inbox,
     key::{self, Identity},
     ledger::{Ending, Entered, Ledger},
     log::{Access, Moment},
--- a/crates/order/src/refusal.rs
+++ b/crates/order/src/refusal.rs
@@ -61,15 +61,6 @@
     )
 }
 
-/// The remedy of [`restarted`].
-pub const RESTARTED: &str =
-    "the host that the order was forwarded to has restarted; send it again with the same key";
-
-/// The message names another process run.
-pub fn restarted() -> Outcome {
-    not_run(Reason::Unreachable, RESTARTED)
-}
-
 /// The process that issued the ticket has stopped.
 pub fn issuer_gone() -> Outcome {
     unknown(
@@ -99,11 +90,6 @@
     unknown("the order is in progress; ask GET /v1/orders/<key> for its outcome")
 }
 
-/// The message arrived before.
-pub fn duplicate() -> Outcome {
-    unknown("the message arrived twice; ask GET /v1/orders/<key> for the outcome")
-}
-
 /// The process that could tell is gone.
 pub fn holder_gone() -> Outcome {
     unknown(
--- a/crates/order/src/root.rs
+++ b/crates/order/src/root.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rattanmast_model::{
-    host,
+    host, inbox,
     outcome::{Outcome, Reason},
     peer::{self, Peers},
     roster,
@@ -99,7 +99,7 @@
             Ok(Outcome::NotRun {
                 reason: Reason::Unreachable,
                 remedy,
-            }) if remedy == refusal::RESTARTED => refusal::issuer_gone(),
+            }) if remedy == inbox::RESTARTED => refusal::issuer_gone(),
             Ok(outcome) => outcome,
             Err(peer::Error::Connect { .. }) => refusal::issuer_gone(),
             Err(peer::Error::Broken { .. }) => broken(),
--- a/crates/order/src/settings.rs
+++ b/crates/order/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rattanmast_model::peer;
+
 use crate::clock::Wall;
 
 /// Partitions of the claim log.
@@ -12,7 +14,7 @@
 /// How long after its claim an order may be sent.
 ///
 /// All hosts of a fleet must agree on it, because the age of messages is told from it.
-pub const CLAIM_TTL: Duration = Duration::from_secs(2);
+pub const CLAIM_TTL: Duration = Duration::from_millis(peer::CLAIM_TTL_MS);
 
 /// Times and bounds of orders; the defaults are those of the design page.
 #[derive(Clone, Debug)]
--- a/crates/order/tests/orders/sim/mod.rs
+++ b/crates/order/tests/orders/sim/mod.rs
@@ -15,10 +15,11 @@
 use rattanmast_model::{
     config::{Collection, Config},
     host::{Host, Incarnation},
+    inbox::Inbox,
     leaf::Limits,
     store::Version,
 };
-use rattanmast_order::{Orders, Settings, clock::Wall, inbox::Inbox, settings::Mutation};
+use rattanmast_order::{Orders, Settings, clock::Wall, settings::Mutation};
 use tokio::time::{Instant, sleep, sleep_until};
 
 pub const HOSTS: usize = 5;
--- a/crates/order/tests/parts.rs
+++ b/crates/order/tests/parts.rs
@@ -6,12 +6,12 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rattanmast_model::{
     host::Incarnation,
+    inbox::Inbox,
     peer::{Order, Step},
     rank::Rank,
     request,
 };
 use rattanmast_order::{
-    inbox::Inbox,
     key,
     ticket::{Issuer, Ticket},
 };
