--- a/crates/state/tests/propagation.rs
+++ b/crates/state/tests/propagation.rs
@@ -86,6 +86,24 @@
     );
 }
 
+/// Guards against a host that waits for a lost fetch before it exchanges again.
+#[tokio::test(start_paused = true)]
+async fn lost_fetches_hold_nothing_up() {
+    let fleet = ready(2, 12).await;
+    fleet.store.cut(&fleet.hosts[1].name, true);
+    seconds(1).await;
+    fleet.net.lock().lose_fetches = u32::MAX;
+    fleet.net.lock().counting = true;
+    fleet.put(2);
+    seconds(10).await;
+    // Every 550 ms at the latest, a random host and the next watcher are asked.
+    let calls = fleet.net.lock().traffic[&fleet.hosts[1].exchange].calls;
+    assert!(calls >= 2 * 18, "{calls} exchanges in 10 s");
+    fleet.net.lock().lose_fetches = 0;
+    let took = fleet.until(LIMIT, |f| f.all_have(2)).await;
+    assert!(took.is_some());
+}
+
 /// Guards against a watch that goes silent: the version read finds the change.
 #[tokio::test(start_paused = true)]
 async fn change_is_found_without_watches() {
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -45,6 +45,8 @@
     nodes: Map<SocketAddr, Node>,
     pub sides: Map<SocketAddr, u8>,
     pub loss: f64,
+    /// The number of next fetches that are lost.
+    pub lose_fetches: u32,
     /// The share of calls that arrive a second time, up to 5 s later.
     pub repeat: f64,
     pub latency: ops::Range<u64>,
@@ -67,6 +69,7 @@
             nodes: Map::default(),
             sides: Map::default(),
             loss: 0.0,
+            lose_fetches: 0,
             repeat: 0.0,
             latency: 1..3,
             traffic: Map::default(),
@@ -118,6 +121,15 @@
     ) -> peer::Result<Reply> {
         let Self(net, me) = self;
         let counting = net.lock().counting;
+        let lost = {
+            let mut wire = net.lock();
+            let lost = wire.lose_fetches > 0 && matches!(message, Message::Fetch(_));
+            wire.lose_fetches -= u32::from(lost);
+            lost
+        };
+        if lost {
+            std::future::pending::<()>().await;
+        }
         let bytes = if counting {
             size(&message) + FRAMING.0
         } else {
