--- a/crates/state/src/accept.rs
+++ b/crates/state/src/accept.rs
@@ -256,27 +256,23 @@
         None => store.create(record::CURRENT, &bytes).await,
     };
     match written {
-        Ok(_) => {
-            // A history object that is missing is written by the next confirm.
-            if let Err(e) = keep(store, &next).await {
-                log::warn!(
-                    "version {} is not in the history yet: {e}",
-                    next.config.version.0
-                );
-            }
-            Ok(Some(Done {
-                version: plan.target.version,
-                by: SmolStr::new(by),
-                already: false,
-            }))
+        Ok(_) => {}
+        Err(store::Error::Conflict { .. }) => return Ok(None),
+        Err(source) => {
+            *sent |= matches!(source, store::Error::Lost { .. });
+            return Err(Error::Unwritten { source });
         }
-        Err(store::Error::Conflict { .. }) => Ok(None),
-        Err(source @ store::Error::Lost { .. }) => {
-            *sent = true;
-            Err(Error::Unwritten { source })
-        }
-        Err(source) => Err(Error::Unwritten { source }),
     }
+    // A history object that is missing is written by the next confirm.
+    if let Err(e) = keep(store, &next).await {
+        let version = plan.target.version.0;
+        log::warn!("version {version} is not in the history yet: {e}");
+    }
+    Ok(Some(Done {
+        version: plan.target.version,
+        by: SmolStr::new(by),
+        already: false,
+    }))
 }
 
 /// Returns what became of `plan` if it has taken effect.
