Show no latency for a rank that is refused whole

Cause: an empty histogram gave 0 ms, which met every latency target. Conclusion: a policy cannot meet a latency target by refusing everything.

--- a/crates/measure/src/cases.rs
+++ b/crates/measure/src/cases.rs
@@ -132,12 +132,12 @@
         targets: vec![
             target(
                 "routine's share of slot time: at least its floor",
-                Aim::AtLeast(floors().routine),
+                Aim::AtLeast(Floors::default().routine),
                 |r| r[0].rows[ROUTINE].slots,
             ),
             target(
                 "intake's share of slot time: at least its floor",
-                Aim::AtLeast(floors().intake),
+                Aim::AtLeast(Floors::default().intake),
                 |r| r[0].rows[INTAKE].slots,
             ),
             target(
@@ -160,15 +160,6 @@
     }
 }
 
-/// Returns the floors of the default configuration.
-const fn floors() -> Floors {
-    Floors {
-        urgent: 0.5,
-        routine: 0.2,
-        intake: 0.05,
-    }
-}
-
 fn lost_replicas() -> Case {
     // The shards that lose a replica have half of their slots, so 40% loads them at 80%.
     let scenario = Scenario {
--- a/crates/measure/src/table.rs
+++ b/crates/measure/src/table.rs
@@ -157,24 +157,33 @@
             "told max",
         );
         for (rank, row) in Rank::ALL.into_iter().zip(&self.rows) {
+            let percent = |share: f64, digits| figure(share * 100.0, digits, "%");
             let _infallible = writeln!(
                 text,
-                "{:8} {:>9.0} {:>8.1} {:>8.1} {:>8.1} {:>8.3}% {:>8.3}% {:>7.2}% {:>9.0} {:>8.0} {:>8.1} {:>5.1}% {:>8.2}% {:>8.2}%",
+                "{:8} {:>9} {:>8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>9} {:>8} {:>8} {:>6} {:>9} {:>9}",
                 rank.name(),
-                row.offered,
-                row.p50_ms,
-                row.p99_ms,
-                row.p999_ms,
-                row.complete * 100.0,
-                row.coverage * 100.0,
-                row.extra * 100.0,
-                row.refused,
-                row.late,
-                row.goodput,
-                row.slots * 100.0,
-                row.refusal_p99 * 100.0,
-                row.refusal_worst * 100.0,
+                figure(row.offered, 0, ""),
+                figure(row.p50_ms, 1, ""),
+                figure(row.p99_ms, 1, ""),
+                figure(row.p999_ms, 1, ""),
+                percent(row.complete, 3),
+                percent(row.coverage, 3),
+                percent(row.extra, 2),
+                figure(row.refused, 0, ""),
+                figure(row.late, 0, ""),
+                figure(row.goodput, 1, ""),
+                percent(row.slots, 1),
+                percent(row.refusal_p99, 2),
+                percent(row.refusal_worst, 2),
             );
         }
     }
 }
+
+/// Returns `value` with `digits` decimals and `unit`, or a dash if it is not a number.
+fn figure(value: f64, digits: usize, unit: &str) -> String {
+    if value.is_nan() {
+        return "-".to_owned();
+    }
+    format!("{value:.digits$}{unit}")
+}
--- a/crates/measure/src/tally.rs
+++ b/crates/measure/src/tally.rs
@@ -221,7 +221,11 @@
     fn row(&self, scale: Scale, sent: u64, replied: u64) -> Row {
         let seconds = scale.length.as_secs_f64();
         let run = self.offered - self.refused;
-        let ms = |q| self.latency.value_at_quantile(q) as f64 / 1_000.0;
+        // A rank that is refused whole has no latency; 0 would pass for a short one.
+        let ms = |q| match run {
+            0 => f64::NAN,
+            _ => self.latency.value_at_quantile(q) as f64 / 1_000.0,
+        };
         let ppm = |v: u64| v as f64 / 1_000_000.0;
         Row {
             offered: self.offered as f64,
--- a/crates/measure/tests/harness.rs
+++ b/crates/measure/tests/harness.rs
@@ -83,6 +83,22 @@
     assert!(report.verdicts.iter().all(|v| !v.met), "{}", report.text());
 }
 
+/// Guards against a policy that passes for fast because it refuses everything.
+#[test]
+fn a_rank_that_is_refused_whole_has_no_latency() {
+    let refused = Scenario {
+        deadlines: [Duration::from_millis(1); 3],
+        warm: Duration::from_millis(200),
+        length: Duration::from_millis(500),
+        ..Scenario::new(0.3)
+    };
+    let run = run::run(&refused, Kind::Policy, 1);
+    for row in run.rows.iter().filter(|r| r.refused == r.offered) {
+        assert!(row.p99_ms.is_nan(), "{row:?}");
+    }
+    assert!(run.rows.iter().any(|r| r.refused == r.offered), "{run:?}");
+}
+
 /// Guards against loads that are not the stated share of the capacity.
 #[test]
 fn arrivals_match_the_load() {
