Compare hedges with a baseline that is not saturated

Cause: the baseline's fixed limit was the leaf's slots, too few with the network's delay: it was saturated at 70% load without any straggler (urgent p99 98 ms in measure), so that passing against it proved little. The test compared single searches, while the target is for queries of 20 parts.

Change: the fixed limit is the connection share. The test takes the slowest of 20 consecutive searches, after a warm-up; the check of the budget is a test of its own.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -155,13 +155,13 @@
     }
 }
 
-/// A fixed limit: the leaf's slots, or the share where that is less.
+/// A fixed limit: the connection share, as a plain pool of connections has it.
 #[derive(Debug)]
 pub struct Fixed(u32);
 
 impl Limit for Fixed {
     fn new(bounds: Bounds) -> Self {
-        Self(bounds.slots.min(bounds.share))
+        Self(bounds.share)
     }
 
     fn resize(&mut self, bounds: Bounds) {
--- a/crates/dispatch/tests/hedges.rs
+++ b/crates/dispatch/tests/hedges.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bolero::TypeGenerator;
-use common::{Bench, each_case, each_paused_case, quantile, whole};
+use common::{Bench, each_case, each_paused_case, whole};
 use rattanmast_dispatch::{
     Dispatcher,
     hedge::{Evidence, Hedge as _, SHARE},
@@ -16,7 +16,12 @@
 
 const TIME: Duration = Duration::from_secs(20);
 
-/// Returns the 99th percentile of urgent searches at 63% load, with a share of stragglers.
+/// Parts of a query, as Norway's registry has services.
+const PARTS: usize = 20;
+
+/// Returns the 99th percentile of urgent queries at 63% load, with a share of stragglers.
+///
+/// A query takes as long as its slowest part; its parts follow one another here.
 async fn p99<P: Policy>(slow_share: f64, seed: u64) -> (Duration, Dispatcher<Connector, P>) {
     let bench = Bench::new(2, model::Settings::default(), seed);
     for leaf in [0, 1] {
@@ -27,26 +32,40 @@
         bench.leaf(leaf).set_faults(faults);
     }
     let dispatcher = bench.with_policy(0, seed).await;
-    let replies = bench.load(&dispatcher, Rank::Urgent, 600.0, TIME).await;
+    // Latency is learned and hedges are earned by then.
+    bench.load(&dispatcher, Rank::Urgent, 600.0, TIME / 5).await;
+    let mut replies = bench.load(&dispatcher, Rank::Urgent, 600.0, TIME).await;
     assert!(replies.iter().all(|(r, _)| whole(r)));
-    (quantile(&replies, 0.99), dispatcher)
+    replies.sort_by_key(|(r, _)| r.id);
+    let slowest = |parts: &[(_, Duration)]| parts.iter().map(|(_, t)| *t).max();
+    let mut queries: Vec<_> = replies.chunks(PARTS).filter_map(slowest).collect();
+    queries.sort_unstable();
+    (queries[queries.len() * 99 / 100], dispatcher)
 }
 
-/// Guards against stragglers that decide the tail, and against extra load above 5%.
+/// Guards against stragglers that decide the tail of queries.
 #[tokio::test(start_paused = true)]
-async fn stragglers_are_hedged_within_the_budget() {
+async fn stragglers_take_at_most_a_third_of_the_baseline() {
     let mut ratios = Vec::new();
     for seed in 0..5 {
         let (plain, _) = p99::<Plain>(0.02, seed).await;
-        let (hedged, dispatcher) = p99::<Adaptive>(0.02, seed).await;
-        let stats = dispatcher.stats();
-        assert!(stats.hedges > 0 && stats.hedges * 20 <= stats.sent - stats.hedges);
+        let (hedged, _) = p99::<Adaptive>(0.02, seed).await;
         ratios.push(hedged.as_secs_f64() / plain.as_secs_f64());
     }
     ratios.sort_by(f64::total_cmp);
     assert!(ratios[2] <= 1.0 / 3.0, "{ratios:?}");
 }
 
+/// Guards against stragglers that are not hedged, and against extra load above 5%.
+#[tokio::test(start_paused = true)]
+async fn stragglers_are_hedged_within_the_budget() {
+    for seed in 0..5 {
+        let (_, dispatcher) = p99::<Adaptive>(0.02, seed).await;
+        let stats = dispatcher.stats();
+        assert!(stats.hedges > 0 && stats.hedges * 20 <= stats.sent - stats.hedges);
+    }
+}
+
 /// Guards against losers that go on working at the leaf.
 #[tokio::test(start_paused = true)]
 async fn losers_are_cancelled_at_the_leaf() {
