Serve only under a configuration that lists the host

Ruled out: ignoring hosts outside the roster would keep a host with a very old roster from learning the newest one. Change: a host that the configuration does not list stays not ready and does not dispatch, and logs the remedy. Conclusion: a wrong seed now shows at the balancer instead of in answers.

--- a/crates/host/src/controllers.rs
+++ b/crates/host/src/controllers.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use rattanmast_gather::Gatherer;
+use rattanmast_model::host::Name;
 use rattanmast_state::{node::Node, settings::Settings};
 use rattanmast_wire::{exchange, store};
 use tokio::{
@@ -30,6 +31,8 @@
 
 /// Passes on what changes in the state to the roles.
 pub struct Follow {
+    /// This host.
+    pub me: Name,
     /// The state.
     pub node: Node<store::Client, exchange::Client>,
     /// Dispatching and claiming.
@@ -49,6 +52,7 @@
         let mut tick = time::interval(TICK);
         let mut learned = false;
         let mut proven = None;
+        let mut warned = None;
         loop {
             tokio::select! {
                 changed = view.changed() => match changed {
@@ -62,7 +66,18 @@
                 let since = proven.get_or_insert_with(Instant::now).elapsed();
                 learned = view.borrow().complete() || since >= LEARNING;
             }
-            self.look(serving && learned);
+            let config = view.borrow().config.clone();
+            let listed = config.hosts.iter().any(|host| host.name == self.me);
+            if serving && !listed && warned.replace(config.version) != Some(config.version) {
+                log::warn!(
+                    "configuration {} does not list host {}, so it does not serve; add it to the \
+                     intent, or check --platform and --seeds",
+                    config.version.0,
+                    self.me,
+                );
+            }
+            // A host that was given the seeds of another installation must not serve its state.
+            self.look(serving && learned && listed);
         }
     }
 
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -152,6 +152,7 @@
         let (worlds, world) = watch::channel(World::default());
         let service = service(&roles, &gatherer, &node, &world, signs);
         let follow = controllers::Follow {
+            me: me.clone(),
             node: node.clone(),
             roles: roles.clone(),
             gatherer,
--- a/crates/try/tests/interface.rs
+++ b/crates/try/tests/interface.rs
@@ -2,10 +2,15 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use hyper::Method;
 use rattanmast_fakes::data;
-use rattanmast_host::config::Traces;
+use rattanmast_host::{
+    Host, Listeners,
+    config::{Config, Traces},
+};
 use rattanmast_model::preset::Preset;
 use rattanmast_state::{accept, intent, plan};
 use rattanmast_try::{
@@ -15,6 +20,7 @@
 };
 use rattanmast_wire::store;
 use serde_json::Value;
+use tokio::time::sleep;
 
 const SEARCH: &str = "/v1/searches/blade-profile-registry";
 const ORDER: &str = "/v1/orders/club-billing";
@@ -97,6 +103,47 @@
     installation.stop().await;
 }
 
+/// Guards against a host that serves a configuration which does not list it, for instance that
+/// of another installation whose hosts it was given as seeds.
+#[tokio::test]
+async fn an_unlisted_host_does_not_serve() {
+    let installation = installation().await;
+    let mut config = Config {
+        host: installation.data.hosts[0].clone(),
+        platform: installation.platform,
+        seeds: vec![installation.data.hosts[1].exchange],
+        lame_duck: Duration::from_millis(1),
+        longest_stop: Duration::from_secs(5),
+        traces: Traces::Off,
+        seed: 3,
+    };
+    config.host.name = "stranger".into();
+    let free = data::local(0);
+    (config.host.http, config.host.hop, config.host.exchange) = (free, free, free);
+    let listeners = Listeners::bind(&config.host).await.unwrap();
+    let [http, ..] = listeners.addresses().unwrap();
+    let host = Host::start(config, listeners).unwrap();
+    let caller = Caller::new(data::key("bench"));
+    let get = async |path: &str| {
+        let call = caller.call(http, Method::GET, path, None, Bytes::new());
+        call.await.unwrap()
+    };
+    // It learns the configuration and proves it; then it still has to stay out.
+    loop {
+        let status: Value = serde_json::from_slice(&get("/v1/status").await.body).unwrap();
+        if status["version"] == 1 && status["serving"] == true {
+            break;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    for _ in 0..50 {
+        assert_eq!(get("/readyz").await.status.as_u16(), 503);
+        sleep(Duration::from_millis(20)).await;
+    }
+    host.stop().await;
+    installation.stop().await;
+}
+
 /// Guards against a trace that ends at a hop: leafs must see the caller's trace identifier.
 #[tokio::test]
 async fn the_trace_reaches_the_leafs() {
