Silence unused test scaffolding with expect

Cause: the house style forbids allow.

Change: common/mod.rs expects dead code, as each test binary uses a part.

--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -1,10 +1,6 @@
 //! One host in front of leafs in memory.
 
-#![allow(
-    dead_code,
-    clippy::allow_attributes,
-    reason = "each test binary uses a part"
-)]
+#![expect(dead_code, reason = "each test binary uses a part")]
 
 pub mod stub;
 
