Use the usual terms for work in flight and leaving leafs

Cause: a read-through found names that need explaining: in hand, hand, hands, left. Change: in flight, flights, entries, known_leaving. Conclusion: none.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -54,7 +54,7 @@
     assignment: Mutex<Assignment>,
     inbox: Mutex<Inbox>,
     ticking: AtomicBool,
-    in_hand: AtomicUsize,
+    messages: AtomicUsize,
     idle: Notify,
 }
 
@@ -73,19 +73,19 @@
     }
 }
 
-/// Counts a message that is in hand until it is dropped.
+/// Counts a message that is in flight until it is dropped.
 struct Hand<C: Connector, P: Policy>(Arc<Inner<C, P>>);
 
 impl<C: Connector, P: Policy> Hand<C, P> {
     fn new(inner: &Arc<Inner<C, P>>) -> Self {
-        inner.in_hand.fetch_add(1, Ordering::SeqCst);
+        inner.messages.fetch_add(1, Ordering::SeqCst);
         Self(Arc::clone(inner))
     }
 }
 
 impl<C: Connector, P: Policy> Drop for Hand<C, P> {
     fn drop(&mut self) {
-        if self.0.in_hand.fetch_sub(1, Ordering::SeqCst) == 1 {
+        if self.0.messages.fetch_sub(1, Ordering::SeqCst) == 1 {
             self.0.idle.notify_waiters();
         }
     }
@@ -145,7 +145,7 @@
                 assignment: Mutex::default(),
                 inbox: Mutex::new(Inbox::new(incarnation)),
                 ticking: AtomicBool::new(false),
-                in_hand: AtomicUsize::new(0),
+                messages: AtomicUsize::new(0),
                 idle: Notify::new(),
             }),
         }
@@ -241,7 +241,7 @@
     }
 
     /// Returns the leafs that showed this host that they are leaving.
-    pub fn left(&self) -> Vec<leaf::Name> {
+    pub fn known_leaving(&self) -> Vec<leaf::Name> {
         let mut left = Vec::new();
         self.inner.each(|service| left.extend(shown(service)));
         left
@@ -283,14 +283,14 @@
         stats
     }
 
-    /// Waits until no message is in hand.
+    /// Waits until no message is in flight.
     pub async fn drain(&self) {
         loop {
             let idle = self.inner.idle.notified();
             tokio::pin!(idle);
             // Registered before the check, so that no notice is missed.
             idle.as_mut().enable();
-            if self.inner.in_hand.load(Ordering::SeqCst) == 0 {
+            if self.inner.messages.load(Ordering::SeqCst) == 0 {
                 return;
             }
             idle.await;
--- a/crates/dispatch/tests/leaving.rs
+++ b/crates/dispatch/tests/leaving.rs
@@ -60,12 +60,12 @@
     let bench = Bench::new(2, model::Settings::default(), 1);
     let dispatcher = bench.dispatcher(0).await;
     dispatcher.leaving(&[bench.name(0)]);
-    assert!(dispatcher.left().is_empty());
+    assert!(dispatcher.known_leaving().is_empty());
     bench.leaf(1).drain(true);
     dispatcher
         .subquery(bench.subquery(Rank::Routine, 200))
         .await;
-    assert_eq!(dispatcher.left(), [bench.name(1)]);
+    assert_eq!(dispatcher.known_leaving(), [bench.name(1)]);
     assert_eq!(dispatcher.report().leaving, [bench.name(1)]);
 }
 
--- a/crates/gather/src/gatherer.rs
+++ b/crates/gather/src/gatherer.rs
@@ -78,7 +78,7 @@
             leaving: Mutex::default(),
             doubted: Mutex::default(),
             runs: Mutex::default(),
-            hand: Mutex::default(),
+            flights: Mutex::default(),
             idle: Notify::new(),
         };
         Self {
@@ -127,7 +127,7 @@
         self.shared.counters.read()
     }
 
-    /// Refuses new queries and waits until none is in hand.
+    /// Refuses new queries and waits until none is in flight.
     pub async fn drain(&self) {
         loop {
             let idle = self.shared.idle.notified();
--- a/crates/gather/src/run.rs
+++ b/crates/gather/src/run.rs
@@ -24,7 +24,7 @@
     view::View,
 };
 
-/// A query in hand.
+/// A query in flight.
 pub(crate) struct Run<'a, P, Y> {
     pub(crate) shared: &'a Shared<P, Y>,
     pub(crate) query: &'a Query,
--- a/crates/gather/src/shared.rs
+++ b/crates/gather/src/shared.rs
@@ -48,13 +48,13 @@
     pub(crate) doubted: Mutex<Map<SmolStr, Snapshot>>,
     /// Process runs learned from replies; gossip may lag behind them.
     pub(crate) runs: Mutex<Map<host::Name, host::Incarnation>>,
-    pub(crate) hand: Mutex<Hand>,
+    pub(crate) flights: Mutex<Flights>,
     pub(crate) idle: Notify,
 }
 
-/// The queries in hand.
+/// The queries in flight.
 #[derive(Debug, Default)]
-pub(crate) struct Hand {
+pub(crate) struct Flights {
     pub(crate) count: [usize; 3],
     pub(crate) draining: bool,
 }
@@ -150,46 +150,46 @@
         most.mul_f64(random.random::<f64>())
     }
 
-    /// Refuses new queries from now on; tells whether none is in hand.
+    /// Refuses new queries from now on; tells whether none is in flight.
     pub(crate) fn drained(&self) -> bool {
-        let mut hand = self.hand.lock().expect("no holder panics");
-        hand.draining = true;
-        hand.count.iter().sum::<usize>() == 0
+        let mut flights = self.flights.lock().expect("no holder panics");
+        flights.draining = true;
+        flights.count.iter().sum::<usize>() == 0
     }
 
-    /// Counts a query of the rank at `index` as in hand until the result is dropped.
+    /// Counts a query of the rank at `index` as in flight until the result is dropped.
     pub(crate) fn enter(&self, index: usize) -> Result<Ticket<'_>, Refusal> {
-        let mut hand = self.hand.lock().expect("no holder panics");
-        if hand.draining {
+        let mut flights = self.flights.lock().expect("no holder panics");
+        if flights.draining {
             let remedy = "host is stopping; send the query to another host";
             return Err(refuse(Reason::Stopping, remedy));
         }
-        if hand.count[index] >= self.settings.in_hand[index] {
+        if flights.count[index] >= self.settings.in_flight[index] {
             self.counters.crowded.add(1);
-            let remedy = "host has too many queries of this rank in hand; send it again later";
+            let remedy = "host has too many queries of this rank in flight; send it again later";
             return Err(refuse(Reason::Overload, remedy));
         }
-        hand.count[index] += 1;
+        flights.count[index] += 1;
         Ok(Ticket {
-            hand: &self.hand,
+            flights: &self.flights,
             idle: &self.idle,
             index,
         })
     }
 }
 
-/// One query in hand.
+/// One query in flight.
 pub(crate) struct Ticket<'a> {
-    hand: &'a Mutex<Hand>,
+    flights: &'a Mutex<Flights>,
     idle: &'a Notify,
     index: usize,
 }
 
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
-        let mut hand = self.hand.lock().expect("no holder panics");
-        hand.count[self.index] -= 1;
-        if hand.draining && hand.count.iter().sum::<usize>() == 0 {
+        let mut flights = self.flights.lock().expect("no holder panics");
+        flights.count[self.index] -= 1;
+        if flights.draining && flights.count.iter().sum::<usize>() == 0 {
             self.idle.notify_waiters();
         }
     }
--- a/crates/gather/src/stats.rs
+++ b/crates/gather/src/stats.rs
@@ -61,7 +61,7 @@
     unknown,
     /// Queries refused by admission before any message was sent.
     refused,
-    /// Queries refused because too many were in hand.
+    /// Queries refused because too many were in flight.
     crowded,
     /// Queries that restarted at a newer snapshot.
     restarts,
--- a/crates/gather/tests/policies.rs
+++ b/crates/gather/tests/policies.rs
@@ -158,13 +158,13 @@
 }
 
 /// Guards against unbounded work at the root: queries beyond the limit hear at once, by rank.
-/// Guards against a drain that cuts off what is in hand, or that takes new work.
+/// Guards against a drain that cuts off what is in flight, or that takes new work.
 #[tokio::test(start_paused = true)]
-async fn queries_in_hand_are_bounded_and_drained() {
+async fn queries_in_flight_are_bounded_and_drained() {
     let world = World::standard(
         1,
         Settings {
-            in_hand: [2, 1, 1],
+            in_flight: [2, 1, 1],
             ..Settings::default()
         },
     );
--- a/crates/host/src/cli.rs
+++ b/crates/host/src/cli.rs
@@ -47,7 +47,7 @@
         display_fallback
     )]
     lame_duck_ms: u64,
-    /// Milliseconds after which a stop no longer waits for work in hand.
+    /// Milliseconds after which a stop no longer waits for work in flight.
     #[bpaf(
         env("RATTANMAST_LONGEST_STOP_MS"),
         argument("MS"),
--- a/crates/host/src/config.rs
+++ b/crates/host/src/config.rs
@@ -64,7 +64,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between readiness going off and new requests being refused.
     pub lame_duck: Duration,
-    /// Time after which a stop no longer waits for work in hand.
+    /// Time after which a stop no longer waits for work in flight.
     pub longest_stop: Duration,
     /// Where spans go.
     pub traces: Traces,
--- a/crates/host/src/controllers.rs
+++ b/crates/host/src/controllers.rs
@@ -110,7 +110,7 @@
             world.serving = serving;
             changed
         });
-        let own = self.roles.dispatcher.left().into_iter();
+        let own = self.roles.dispatcher.known_leaving().into_iter();
         let own: Vec<_> = own.chain(self.gatherer.leaving()).collect();
         self.node.heard_leaving(&own);
         self.roles.dispatcher.leaving(&self.node.leaving_leafs());
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -109,7 +109,7 @@
     tracer: Tracer,
     driver: Driver,
     world: watch::Receiver<World>,
-    /// Ends the servers; what is in hand is finished.
+    /// Ends the servers; what is in flight is finished.
     closing: CancellationToken,
     /// Ends the controllers.
     ending: CancellationToken,
--- a/crates/host/src/scrape.rs
+++ b/crates/host/src/scrape.rs
@@ -75,7 +75,7 @@
             self.metrics.count("claimer", event, value);
         }
         self.metrics.gauge("claimer", "keys", stats.keys);
-        self.metrics.gauge("claimer", "in_hand", stats.in_hand);
+        self.metrics.gauge("claimer", "in_flight", stats.in_flight);
     }
 
     fn state(&self) {
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// Serves until `stop`, then finishes what is in hand.
+/// Serves until `stop`, then finishes what is in flight.
 pub async fn serve(listener: TcpListener, service: Service, stop: CancellationToken) {
     let graceful = GracefulShutdown::new();
     loop {
--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -61,7 +61,7 @@
             .await;
     }
 
-    /// Checks what was said of each order, once nothing of them is in hand any more.
+    /// Checks what was said of each order, once nothing of them is in flight any more.
     async fn check_all(&self, keys: &[String], outcomes: &[&[Result<Outcome, String>]]) {
         self.until_whole(1).await;
         let mut tally = std::collections::BTreeMap::<&str, u32>::new();
--- a/crates/order/src/ledger.rs
+++ b/crates/order/src/ledger.rs
@@ -1,4 +1,4 @@
-//! The orders that this process has in hand or had.
+//! The orders that this process has in flight or had.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 /// Time between two searches for expired orders, each of which visits all.
 const SWEEP: Duration = Duration::from_secs(10);
 
-/// What an order ends with; `None` while it is in hand.
+/// What an order ends with; `None` while it is in flight.
 pub type Ending = watch::Receiver<Option<Outcome>>;
 
 /// An order that was, or may have been, sent.
@@ -21,7 +21,7 @@
 }
 
 #[derive(Debug)]
-struct Hand {
+struct Entry {
     digest: u64,
     active: Option<Ending>,
     sent: Option<Sent>,
@@ -46,7 +46,7 @@
 /// Remembers the orders of this process for the window.
 #[derive(Debug)]
 pub struct Ledger {
-    hands: Map<Identity, Hand>,
+    entries: Map<Identity, Entry>,
     /// When expired orders are next looked for.
     sweep: Instant,
     keep: Duration,
@@ -57,7 +57,7 @@
     /// Returns an empty ledger that remembers `limit` orders for `keep` after their last use.
     pub fn new(keep: Duration, limit: usize) -> Self {
         Self {
-            hands: Map::default(),
+            entries: Map::default(),
             sweep: Instant::now(),
             keep,
             limit,
@@ -68,29 +68,29 @@
     pub fn enter(&mut self, id: Identity, digest: u64) -> Entered {
         self.expire();
         let expiry = Instant::now() + self.keep;
-        let room = self.hands.len() < self.limit;
-        let hand = match self.hands.get_mut(&id) {
-            Some(hand) => hand,
+        let room = self.entries.len() < self.limit;
+        let entry = match self.entries.get_mut(&id) {
+            Some(entry) => entry,
             None if !room => return Entered::Full,
-            None => self.hands.entry(id).or_insert(Hand {
+            None => self.entries.entry(id).or_insert(Entry {
                 digest,
                 active: None,
                 sent: None,
                 expiry,
             }),
         };
-        if hand.digest != digest {
+        if entry.digest != digest {
             return Entered::Differs;
         }
-        hand.expiry = expiry;
-        match (&hand.active, &hand.sent) {
+        entry.expiry = expiry;
+        match (&entry.active, &entry.sent) {
             (Some(ending), _) => Entered::Join(ending.clone()),
             (None, Some(sent)) if !matches!(sent.outcome, Outcome::NotRun { .. }) => {
                 Entered::Settled(sent.outcome.clone())
             }
             _ => {
                 let (sender, ending) = watch::channel(None);
-                hand.active = Some(ending.clone());
+                entry.active = Some(ending.clone());
                 Entered::Start(sender, ending)
             }
         }
@@ -98,15 +98,15 @@
 
     /// Notes that the order is about to be sent under the claim `nonce`.
     pub fn sending(&mut self, id: Identity, nonce: u64) {
-        if let Some(hand) = self.hands.get_mut(&id) {
+        if let Some(entry) = self.entries.get_mut(&id) {
             let outcome = refusal::in_progress();
-            hand.sent = Some(Sent { nonce, outcome });
+            entry.sent = Some(Sent { nonce, outcome });
         }
     }
 
     /// Notes what became of the order that was sent.
     pub fn sent(&mut self, id: Identity, outcome: &Outcome) {
-        if let Some(sent) = self.hands.get_mut(&id).and_then(|h| h.sent.as_mut()) {
+        if let Some(sent) = self.entries.get_mut(&id).and_then(|h| h.sent.as_mut()) {
             sent.outcome = outcome.clone();
         }
     }
@@ -115,33 +115,33 @@
     ///
     /// Asked by the request that works on the key; no other one can send it.
     pub fn void(&self, id: Identity, nonce: u64) -> bool {
-        let hand = self.hands.get(&id);
+        let entry = self.entries.get(&id);
         let not_run = |s: &Sent| s.nonce != nonce || matches!(s.outcome, Outcome::NotRun { .. });
-        hand.is_some_and(|h| h.sent.as_ref().is_none_or(not_run))
+        entry.is_some_and(|h| h.sent.as_ref().is_none_or(not_run))
     }
 
     /// Ends the work on the key.
     pub fn leave(&mut self, id: Identity) {
-        if let Some(hand) = self.hands.get_mut(&id) {
-            hand.active = None;
-            if hand.sent.is_none() {
-                self.hands.remove(&id);
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.active = None;
+            if entry.sent.is_none() {
+                self.entries.remove(&id);
             }
         }
     }
 
     /// Forgets the order that was sent under the claim `nonce`: the log holds its outcome.
     pub fn forget(&mut self, id: Identity, nonce: u64) {
-        let hand = self.hands.get(&id).filter(|h| h.active.is_none());
-        if hand.is_some_and(|h| h.sent.as_ref().is_some_and(|s| s.nonce == nonce)) {
-            self.hands.remove(&id);
+        let entry = self.entries.get(&id).filter(|h| h.active.is_none());
+        if entry.is_some_and(|h| h.sent.as_ref().is_some_and(|s| s.nonce == nonce)) {
+            self.entries.remove(&id);
         }
     }
 
     /// Returns what is known of the key.
     pub fn outcome(&self, id: Identity) -> Option<Outcome> {
-        let hand = self.hands.get(&id)?;
-        Some(match (&hand.active, &hand.sent) {
+        let entry = self.entries.get(&id)?;
+        Some(match (&entry.active, &entry.sent) {
             (_, Some(sent)) if !matches!(sent.outcome, Outcome::NotRun { .. }) => {
                 sent.outcome.clone()
             }
@@ -150,18 +150,18 @@
         })
     }
 
-    /// Returns the number of orders remembered, and of those in hand.
+    /// Returns the number of orders remembered, and of those in flight.
     pub fn sizes(&mut self) -> (usize, usize) {
         self.expire();
-        let active = self.hands.values().filter(|h| h.active.is_some()).count();
-        (self.hands.len(), active)
+        let active = self.entries.values().filter(|h| h.active.is_some()).count();
+        (self.entries.len(), active)
     }
 
     fn expire(&mut self) {
         let now = Instant::now();
         if now >= self.sweep {
-            self.hands
-                .retain(|_, hand| hand.active.is_some() || hand.expiry > now);
+            self.entries
+                .retain(|_, entry| entry.active.is_some() || entry.expiry > now);
             self.sweep = now + SWEEP;
         }
     }
--- a/crates/order/src/orders.rs
+++ b/crates/order/src/orders.rs
@@ -183,22 +183,22 @@
 
     /// Returns counts for metrics.
     pub fn stats(&self) -> Stats {
-        let (hands, in_hand) = lock(&self.inner.ledger).sizes();
+        let (remembered, in_flight) = lock(&self.inner.ledger).sizes();
         let keys = self
             .inner
             .partitions
             .iter()
             .map(Handle::keys)
             .sum::<usize>()
-            + hands;
+            + remembered;
         Stats {
             keys: keys as u64,
-            in_hand: in_hand as u64,
+            in_flight: in_flight as u64,
             ..self.inner.counters.read()
         }
     }
 
-    /// Takes no new orders and waits until every order in hand has its outcome.
+    /// Takes no new orders and waits until every order in flight has its outcome.
     ///
     /// Each order ends within its caller's time, and the outcomes are recorded in
     /// the log if the platform answers.
@@ -302,7 +302,7 @@
         outcome
     }
 
-    /// Waits for the outcome of an order in hand.
+    /// Waits for the outcome of an order in flight.
     async fn ending(&self, mut ending: Ending, deadline: Instant) -> Outcome {
         // The work ends by the deadline itself; the margin lets it tell how.
         let limit = deadline + Duration::from_millis(5);
@@ -339,7 +339,7 @@
             .map_err(|error: key::Error| refusal::not_run(Reason::Key, &error.to_smolstr()))
     }
 
-    /// Claims and sends an order that this process has in hand.
+    /// Claims and sends an order that this process has in flight.
     async fn work(
         &self,
         id: Identity,
--- a/crates/order/src/stats.rs
+++ b/crates/order/src/stats.rs
@@ -29,8 +29,8 @@
     pub lost: u64,
     /// Keys in memory, this process's own orders included.
     pub keys: u64,
-    /// Orders in hand.
-    pub in_hand: u64,
+    /// Orders in flight.
+    pub in_flight: u64,
 }
 
 /// The counters behind [`Stats`].
@@ -79,7 +79,7 @@
             conflicts: get(&self.conflicts),
             lost: get(&self.lost),
             keys: 0,
-            in_hand: 0,
+            in_flight: 0,
         }
     }
 }
--- a/crates/order/tests/orders/claims.rs
+++ b/crates/order/tests/orders/claims.rs
@@ -305,7 +305,7 @@
     assert!(matches!(asked, Some(Outcome::Unknown { .. })), "{asked:?}");
 }
 
-/// Guards against a stop that cuts off orders in hand.
+/// Guards against a stop that cuts off orders in flight.
 #[tokio::test(start_paused = true)]
 async fn drain_ends_every_order() {
     let world = world(Mutation::None);
@@ -317,7 +317,7 @@
     });
     sleep(Duration::from_millis(3)).await;
     process(&world, host).drain().await;
-    assert_eq!(process(&world, host).stats().in_hand, 0);
+    assert_eq!(process(&world, host).stats().in_flight, 0);
     assert_eq!(attempt.await.unwrap().name(), "done");
     let refused = submit(&world, host, &uuid(world.true_ms(), 8)).await;
     assert_eq!(reason(&refused), Some(Reason::Stopping));
--- a/crates/order/tests/orders/faults.rs
+++ b/crates/order/tests/orders/faults.rs
@@ -70,9 +70,9 @@
         if let Some(process) = world.process(host).filter(|_| planned) {
             process.drain().await;
             assert_eq!(
-                process.stats().in_hand,
+                process.stats().in_flight,
                 0,
-                "an order is in hand after the drain"
+                "an order is in flight after the drain"
             );
         }
         world.kill(host);
