Keep one wall clock for orders

Cause: crates order, dispatch and host each had their own source of wall-clock time; that of order was a boxed closure on the path of requests. Change: `model::wall::Wall`: the system's clock, or one that follows tokio's and can be set wrong, for tests. The faults of the failure test are the same.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,10 +27,8 @@
 mod settings;
 mod state;
 mod stats;
-mod wall;
 
 pub use dispatcher::Dispatcher;
 pub use latency::Level;
 pub use settings::Settings;
 pub use stats::Stats;
-pub use wall::Wall;
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -48,7 +48,7 @@
     deadline: Instant,
     mut tx: oneshot::Sender<Outcome>,
 ) {
-    let wall = service.shared.settings.wall;
+    let wall = &service.shared.settings.wall;
     let left = message.not_after_ms.saturating_sub(wall.now_ms());
     // The bound keeps the addition in range.
     let expiry = Instant::now() + Duration::from_millis(left.min(3_600_000));
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::wall::Wall;
+use rattanmast_model::wall::Wall;
 
 /// Settings of a dispatcher; the defaults suit both installations.
 #[derive(Clone, Debug)]
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -11,7 +11,7 @@
     generator::bolero_generator::driver::{self, Options},
 };
 use rand::{SeedableRng as _, rngs::SmallRng};
-use rattanmast_dispatch::{Dispatcher, Settings, Wall, policy::Policy};
+use rattanmast_dispatch::{Dispatcher, Settings, policy::Policy};
 use rattanmast_fakes::{
     memory::{Connector, Data, Fleet},
     model,
@@ -26,6 +26,7 @@
     range::SPACE,
     rank::Rank,
     request, roster,
+    wall::Wall,
 };
 use smol_str::SmolStr;
 use tokio::{
@@ -77,10 +78,7 @@
         });
         let wall = rattanmast_fakes::memory::Wall::simulated();
         let settings = Settings {
-            wall: Wall::Runtime {
-                at: Instant::now(),
-                ms: wall.now_ms(),
-            },
+            wall: Wall::simulated(wall.now_ms()),
             ..Settings::default()
         };
         let service = Service {
--- a/crates/host/src/clock.rs
+++ b/crates/host/src/clock.rs
@@ -2,12 +2,6 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Returns the time since the Unix epoch, in milliseconds.
-pub fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
-
 /// Returns the time since the Unix epoch, in nanoseconds, to number a process run.
 pub fn unix_ns() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod roster;
 pub mod store;
 pub mod trace;
+pub mod wall;
--- /dev/null
+++ b/crates/model/src/wall.rs
@@ -0,0 +1,74 @@
+//! Wall-clock time, for the times that keys and orders carry between machines.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicI64, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use tokio::time::Instant;
+
+/// A source of wall-clock time.
+#[derive(Clone, Debug, Default)]
+pub enum Wall {
+    /// The system's clock.
+    #[default]
+    System,
+    /// A clock that follows tokio's, for tests on the paused clock.
+    Simulated(Arc<Simulated>),
+}
+
+/// A clock that follows tokio's and may be set wrong.
+#[derive(Debug)]
+pub struct Simulated {
+    at: Instant,
+    ms: u64,
+    skew_ms: AtomicI64,
+}
+
+impl Wall {
+    /// Returns a clock that follows tokio's and shows `ms` now.
+    pub fn simulated(ms: u64) -> Self {
+        Self::Simulated(Arc::new(Simulated::new(Instant::now(), ms)))
+    }
+
+    /// Returns the time in milliseconds since the Unix epoch.
+    pub fn now_ms(&self) -> u64 {
+        match self {
+            Self::System => millis(
+                SystemTime::now()
+                    .duration_since(UNIX_EPOCH)
+                    .unwrap_or_default(),
+            ),
+            Self::Simulated(clock) => clock.now_ms(),
+        }
+    }
+}
+
+impl Simulated {
+    /// Returns a clock that showed `ms` at `at`.
+    pub const fn new(at: Instant, ms: u64) -> Self {
+        Self {
+            at,
+            ms,
+            skew_ms: AtomicI64::new(0),
+        }
+    }
+
+    /// Returns the time in milliseconds since the Unix epoch.
+    pub fn now_ms(&self) -> u64 {
+        let skew = self.skew_ms.load(Ordering::Relaxed);
+        (self.ms + millis(self.at.elapsed())).saturating_add_signed(skew)
+    }
+
+    /// Sets the clock wrong by `skew_ms` milliseconds from now on.
+    pub fn set_skew(&self, skew_ms: i64) {
+        self.skew_ms.store(skew_ms, Ordering::Relaxed);
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -4,7 +4,6 @@
 //! run. The key of an order is claimed in a log in the platform's store before
 //! the order is sent to a leaf; a ticket is redeemed by the process that issued it.
 
-pub mod clock;
 pub mod key;
 mod ledger;
 mod log;
--- a/crates/order/src/log.rs
+++ b/crates/order/src/log.rs
@@ -6,12 +6,12 @@
 use rattanmast_model::{
     hash::Set,
     store::{self, Store, Version},
+    wall::Wall,
 };
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::time::{Instant, timeout};
 
 use crate::{
-    clock::Wall,
     key::Identity,
     record::{Batch, Head},
     stats::Counters,
--- a/crates/order/src/settings.rs
+++ b/crates/order/src/settings.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use rattanmast_model::peer;
-
-use crate::clock::Wall;
+use rattanmast_model::{peer, wall::Wall};
 
 /// Partitions of the claim log.
 ///
--- a/crates/order/tests/orders/faults.rs
+++ b/crates/order/tests/orders/faults.rs
@@ -46,7 +46,10 @@
                 let pause = Duration::from_millis(rng.random_range(10..longest));
                 world.lock().slots[host].paused = Instant::now() + pause;
             }
-            3 => world.lock().slots[host].skew = rng.random_range(-SKEW..SKEW),
+            3 => {
+                let skew = rng.random_range(-SKEW..SKEW);
+                world.lock().slots[host].clock.set_skew(skew);
+            }
             4 => {
                 let world = world.clone();
                 let outage = rng.random_range(100..10_000);
--- a/crates/order/tests/orders/sim/mod.rs
+++ b/crates/order/tests/orders/sim/mod.rs
@@ -18,8 +18,9 @@
     inbox::Inbox,
     leaf::Limits,
     store::Version,
+    wall::{Simulated, Wall},
 };
-use rattanmast_order::{Orders, Settings, clock::Wall, settings::Mutation};
+use rattanmast_order::{Orders, Settings, settings::Mutation};
 use tokio::time::{Instant, sleep, sleep_until};
 
 pub const HOSTS: usize = 5;
@@ -73,7 +74,7 @@
     pub process: Option<Process>,
     pub inbox: Inbox,
     pub paused: Instant,
-    pub skew: i64,
+    pub clock: Arc<Simulated>,
     /// Whether the host's dispatcher cannot prove its configuration.
     pub stale: bool,
     /// What this host believes of the others: their process run, and until when they are dead.
@@ -120,7 +121,7 @@
             process: None,
             inbox: Inbox::new(Incarnation(0)),
             paused: now,
-            skew: 0,
+            clock: Arc::new(Simulated::new(now, START)),
             stale: false,
             heard: vec![None; HOSTS],
             shunned: vec![now; HOSTS],
@@ -178,8 +179,7 @@
     }
 
     pub fn wall_ms(&self, host: usize) -> u64 {
-        self.true_ms()
-            .saturating_add_signed(self.lock().slots[host].skew)
+        self.lock().slots[host].clock.now_ms()
     }
 
     /// Passes when the process may run: not while it is paused, and never after its death.
@@ -221,10 +221,10 @@
     pub fn boot(&self, host: usize) {
         let incarnation = Incarnation(self.wall_ms(host) * 1_000_000);
         let seed = self.lock().rng.random();
-        let world = self.clone();
+        let clock = Arc::clone(&self.lock().slots[host].clock);
         let id = Id { host, incarnation };
         let settings = Settings {
-            wall: Wall::new(move || world.wall_ms(host)),
+            wall: Wall::Simulated(clock),
             ..self.settings.clone()
         };
         let (store, peers) = (Store::new(self, id), Peers::new(self, id));
--- a/crates/try/src/show.rs
+++ b/crates/try/src/show.rs
@@ -8,7 +8,7 @@
 use hyper::Method;
 use rattanmast_fakes::data;
 use rattanmast_host::config::Traces;
-use rattanmast_model::{preset::Preset, rank::Rank};
+use rattanmast_model::{preset::Preset, rank::Rank, wall::Wall};
 use rattanmast_state::{accept, intent, plan};
 use rattanmast_try::{
     call::{self, Answer, Caller},
@@ -276,7 +276,7 @@
 }
 
 fn unix_ms() -> u64 {
-    rattanmast_host::clock::unix_ms()
+    Wall::System.now_ms()
 }
 
 /// Returns a new UUIDv7.
