Name query and dispatch internals by what they hold

Cause: a read-through found names that do not tell a newcomer what they are: doomed, hopeless, rescuers, WARY, PATIENT. Change: cannot_succeed and refusal_due, all_late_at, hedge_targets, STEP_NEAR_SHED, PATIENCE_FACTOR, next_check. Behaviour is the same.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -48,7 +48,7 @@
 /// Replies at each step of the growth from a cold start, for each request in flight.
 const STEP: f64 = 8.0;
 /// Replies at each step near a limit at which the leaf shed, for each request in flight.
-const WARY: f64 = 64.0;
+const STEP_NEAR_SHED: f64 = 64.0;
 
 /// A limit that follows the latency gradient, sheds and failures.
 #[derive(Debug)]
@@ -123,7 +123,7 @@
         } else if ratio < CALM && saturated {
             let slots = f64::from(self.bounds.slots);
             let replies = if self.limit + 1.0 >= self.shed {
-                WARY
+                STEP_NEAR_SHED
             } else if self.limit < slots {
                 STEP
             } else {
--- a/crates/dispatch/src/links.rs
+++ b/crates/dispatch/src/links.rs
@@ -14,7 +14,7 @@
 /// Bounds on the time after which a request without reply is looked into.
 const PATIENCE: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
 /// The time in typical replies; stragglers take about 10.
-const PATIENT: u32 = 20;
+const PATIENCE_FACTOR: u32 = 20;
 /// Bounds on the time that a working connection needs for a cancellation.
 const GRACE: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(250)];
 
@@ -218,7 +218,7 @@
     pub(crate) fn patience(&self, replica: usize) -> Duration {
         let [least, most] = PATIENCE;
         self.typical(replica)
-            .map_or(most / 4, |t| (t * PATIENT).clamp(least, most))
+            .map_or(most / 4, |t| (t * PATIENCE_FACTOR).clamp(least, most))
     }
 
     /// Returns the time that a working connection needs at most for a cancellation.
--- a/crates/dispatch/src/search.rs
+++ b/crates/dispatch/src/search.rs
@@ -268,11 +268,11 @@
         };
         let (service, rank) = (self.service, self.message.rank);
         let (now, waited) = (Instant::now(), first.sent.elapsed());
-        let (queued, rescuers) = {
+        let (queued, hedge_targets) = {
             let state = service.lock();
-            (state.waits(now)[rank.index()], state.rescuers(now))
+            (state.waits(now)[rank.index()], state.hedge_targets(now))
         };
-        let others = rescuers & self.eligible & !(1 << first.replica);
+        let others = hedge_targets & self.eligible & !(1 << first.replica);
         let worth = others != 0 && queued < waited / 2;
         let token = worth.then(|| Token::take(service, rank));
         let Some(Some(token)) = token else {
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -269,7 +269,7 @@
     }
 
     /// Returns the replicas that a hedge may go to: a far slower one would not be done before.
-    pub(crate) fn rescuers(&self, now: Instant) -> u64 {
+    pub(crate) fn hedge_targets(&self, now: Instant) -> u64 {
         let most = choice::WORSE * self.prior();
         let quick = |r: &Replica<C::Link, P::Limit>| {
             r.is_usable(now) && r.latency.expected(most / choice::WORSE, now) <= most
--- a/crates/gather/src/attempt.rs
+++ b/crates/gather/src/attempt.rs
@@ -47,7 +47,7 @@
     enough: bool,
     pub(crate) restart: Option<Pin>,
     /// When to stop waiting for the last replies of a query that cannot succeed.
-    doomed: Option<Instant>,
+    refusal_due: Option<Instant>,
 }
 
 impl<'r, 'a, P: Peers, Y: Policy> Attempt<'r, 'a, P, Y> {
@@ -64,7 +64,7 @@
             check: run.deadline,
             enough: false,
             restart: None,
-            doomed: None,
+            refusal_due: None,
             run,
             pin,
         };
@@ -81,7 +81,7 @@
         let done = idle
             || self.cover.whole()
             || now >= self.run.deadline
-            || (self.enough && now >= self.hopeless())
+            || (self.enough && now >= self.all_late_at())
             || self.refused(now);
         done.then_some(End::Done)
     }
@@ -92,24 +92,24 @@
     /// time to say that theirs did not begin either. Most refuse together.
     fn refused(&mut self, now: Instant) -> bool {
         if self.lost.is_empty() {
-            self.doomed = None;
+            self.refusal_due = None;
             return false;
         }
         let given_up = self.given_up();
         let least = self.run.query.search.least_coverage;
         if claim::reachable(&self.pin.parts, &given_up) >= least {
-            self.doomed = None;
+            self.refusal_due = None;
             return false;
         }
         let begun = self.run.begun || !self.cover.keys().is_empty();
         let grace = self.run.time.mul_f64(GRACE);
-        let until = *self.doomed.get_or_insert(now + grace);
+        let until = *self.refusal_due.get_or_insert(now + grace);
         begun || self.open.is_empty() || now >= until
     }
 
     /// Tells whether the query cannot succeed any more.
-    pub(crate) const fn doomed(&self) -> bool {
-        self.doomed.is_some()
+    pub(crate) const fn cannot_succeed(&self) -> bool {
+        self.refusal_due.is_some()
     }
 
     /// Returns the keys that were given up and that no open message may still find.
@@ -122,13 +122,13 @@
     }
 
     /// Returns when to look again if nothing happens.
-    pub(crate) fn wake(&self) -> Instant {
-        let wake = self.run.deadline.min(self.check);
-        let wake = self.doomed.map_or(wake, |until| until.min(wake));
+    pub(crate) fn next_check(&self) -> Instant {
+        let next = self.run.deadline.min(self.check);
+        let next = self.refusal_due.map_or(next, |until| until.min(next));
         if self.enough {
-            wake.min(self.hopeless())
+            next.min(self.all_late_at())
         } else {
-            wake
+            next
         }
     }
 
@@ -204,7 +204,7 @@
     }
 
     /// Returns when no open message is likely to be answered soon.
-    fn hopeless(&self) -> Instant {
+    fn all_late_at(&self) -> Instant {
         let late = self.open.open().map(|open| open.kept.late).max();
         let waits = (self.waits > 0).then_some(self.run.deadline);
         late.max(waits).unwrap_or(self.run.deadline)
--- a/crates/gather/src/missed.rs
+++ b/crates/gather/src/missed.rs
@@ -101,7 +101,7 @@
 
     /// Asks for `items` again after `delay`; moved data needs some time to arrive.
     pub(crate) fn later(&mut self, items: Vec<Item>, delay: Duration) {
-        if items.is_empty() || self.doomed() {
+        if items.is_empty() || self.cannot_succeed() {
             return;
         }
         let (charged, free): (Vec<_>, Vec<_>) = items.into_iter().partition(|i| i.charged);
--- a/crates/gather/src/run.rs
+++ b/crates/gather/src/run.rs
@@ -167,7 +167,7 @@
         if let Some(end) = attempt.end(calls.is_empty()) {
             return end;
         }
-        match timeout_at(attempt.wake(), calls.next()).await {
+        match timeout_at(attempt.next_check(), calls.next()).await {
             Ok(Some(event)) => attempt.handle(event),
             Ok(None) => {}
             Err(_) => attempt.tick(),
