Test orders with a platform that loses answers, as processes

Cause: lost answers of the platform were tested in memory only, and slow and lossy ways to leafs not together with them.

--- a/crates/host/tests/process.rs
+++ b/crates/host/tests/process.rs
@@ -333,6 +333,34 @@
     env.check_all(&closed, &[&outcomes]).await;
 }
 
+/// Guards against orders that run twice, or are called not run, because the platform's answer to
+/// a claim was lost after it took effect, while the ways to the leafs are slow and lose bytes.
+#[tokio::test]
+async fn the_platform_loses_answers() {
+    let env = Env::start("the_platform_loses_answers", true).await;
+    let proxy = env.proxy.as_ref().unwrap();
+    env.until_whole(0).await;
+    env.admin(&env.platform, "/faults", json!({"lose_answer": 0.5}))
+        .await;
+    let slow = json!({"delay_ms": 20, "jitter_ms": 40});
+    env.admin(proxy, "/routes/*/faults", slow).await;
+    let keys: Vec<String> = (0..60).map(|_| key()).collect();
+    let first = env.spread(&keys, 0).await;
+    let dropped = json!({"delay_ms": 20, "drop_to_client": true});
+    env.admin(proxy, "/routes/*/faults", dropped).await;
+    let unanswered: Vec<String> = (0..30).map(|_| key()).collect();
+    let outcomes = env.spread(&unanswered, 2).await;
+    env.admin(proxy, "/routes/*/faults", json!({})).await;
+    env.admin(&env.platform, "/faults", json!({})).await;
+    let again = join_all(keys.iter().map(|key| env.order(1, key))).await;
+    let settled = |(first, again): (&Result<Outcome, String>, &Result<Outcome, String>)| {
+        is_done(first) || is_done(again)
+    };
+    assert!(first.iter().zip(&again).any(settled), "{first:?} {again:?}");
+    env.check_all(&keys, &[&first, &again]).await;
+    env.check_all(&unanswered, &[&outcomes]).await;
+}
+
 /// Guards against connections to leafs that go silent and stall all later queries.
 #[tokio::test]
 async fn connections_to_leafs_go_silent() {
