Measure a rolling restart of all hosts under load

Cause: the target of zero requests cut off was tested with three hosts only. Change: the example `rolling` restarts 9 hosts one after the other behind a stand-in for the balancer and counts refused and cut-off queries.

--- /dev/null
+++ b/crates/try/examples/rolling.rs
@@ -0,0 +1,104 @@
+//! Restarts all 9 hosts one after the other under load, and counts what goes wrong.
+//!
+//! `cargo run --release -p rattanmast-try --example rolling -- [QUERIES_A_SECOND]`
+//!
+//! A stand-in for the balancer looks at each host's `/readyz` every 20 ms and sends queries to
+//! ready hosts only, as the platform's balancer does.
+
+use std::{
+    env,
+    error::Error,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::Method;
+use rattanmast_fakes::data::key;
+use rattanmast_host::config::Traces;
+use rattanmast_model::preset::Preset;
+use rattanmast_state::{accept, intent, plan};
+use rattanmast_try::{call::Caller, installation::Installation, intent::render};
+use rattanmast_wire::store;
+use tokio::{task::JoinSet, time};
+
+const SEARCH: &str = "/v1/searches/blade-profile-registry";
+const BODY: &[u8] = br#"{"text":"profile-03","rank":"routine"}"#;
+
+type Ready = Arc<Mutex<Vec<SocketAddr>>>;
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    // 60% of about 640 queries a second, which is what the stand-in leafs can do over sockets.
+    let rate = env::args().nth(1).map_or(Ok(380.0), |a| a.parse::<f64>())?;
+    let mut installation = Installation::start(Preset::norway(), 1, &Traces::Off).await?;
+    let intent = intent::parse("intent.toml", &render(&installation.data.config()))?;
+    let platform = store::Client::new(installation.platform);
+    let current = accept::current(&platform).await?;
+    let plan = plan::make(&current.record.config, &intent);
+    accept::confirm(&platform, &plan, "example", 1).await?;
+    installation.ready().await;
+
+    let hosts: Vec<_> = installation.data.hosts.iter().map(|h| h.http).collect();
+    let ready = Ready::default();
+    let balancer = tokio::spawn(balance(hosts, ready.clone()));
+    time::sleep(Duration::from_millis(500)).await;
+    let load = tokio::spawn(send(rate, ready));
+    time::sleep(Duration::from_secs(2)).await;
+    for index in 0..installation.hosts.len() {
+        installation.restart(index).await?;
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    balancer.abort();
+    load.abort();
+    let _ = load.await;
+    installation.stop().await;
+    Ok(())
+}
+
+/// Keeps the list of ready hosts.
+async fn balance(hosts: Vec<SocketAddr>, ready: Ready) {
+    let caller = Caller::new("none");
+    loop {
+        let mut seen = Vec::new();
+        for host in &hosts {
+            let call = caller.call(*host, Method::GET, "/readyz", None, Bytes::new());
+            if call.await.is_ok_and(|a| a.status.is_success()) {
+                seen.push(*host);
+            }
+        }
+        *ready.lock().unwrap_or_else(PoisonError::into_inner) = seen;
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends queries at a fixed rate and prints the counts after each second.
+async fn send(rate: f64, ready: Ready) {
+    let caller = Caller::new(key("bench"));
+    let mut tick = time::interval(Duration::from_secs_f64(1.0 / rate));
+    let mut open: JoinSet<Result<u16, String>> = JoinSet::new();
+    let (mut sent, mut done, mut refused, mut cut) = (0_usize, 0, 0, 0);
+    let mut print = time::interval(Duration::from_secs(1));
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {
+                let hosts = ready.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                let Some(host) = hosts.get(sent % hosts.len().max(1)).copied() else { continue };
+                sent += 1;
+                let caller = caller.clone();
+                open.spawn(async move {
+                    let body = Bytes::from_static(BODY);
+                    let call = caller.call(host, Method::POST, SEARCH, None, body);
+                    call.await.map(|a| a.status.as_u16()).map_err(|e| e.to_string())
+                });
+            }
+            Some(Ok(answer)) = open.join_next() => match answer {
+                Ok(200) => done += 1,
+                Ok(status) => { refused += 1; eprintln!("status {status}"); }
+                Err(error) => { cut += 1; eprintln!("{error}"); }
+            },
+            _ = print.tick() => println!("sent {sent}, done {done}, refused {refused}, cut {cut}"),
+        }
+    }
+}
--- a/crates/try/src/installation.rs
+++ b/crates/try/src/installation.rs
@@ -35,6 +35,9 @@
     },
 }
 
+/// Time between a host's readiness going off and its refusing; there is no balancer to wait for.
+const LAME_DUCK: Duration = Duration::from_millis(200);
+
 /// A platform, leafs and hosts that run in this process.
 pub struct Installation {
     /// Names, addresses and records.
@@ -47,6 +50,7 @@
     pub fleet: Fleet,
     /// The entry hosts.
     pub hosts: Vec<Host>,
+    traces: config::Traces,
 }
 
 impl Installation {
@@ -77,27 +81,48 @@
             async move { platform::answer(&objects, request).await }
         }));
 
-        let seeds: Vec<_> = data.hosts.iter().map(|host| host.exchange).collect();
-        let hosts = data.hosts.iter().zip(listeners).zip(seed..);
-        let hosts = hosts.map(|((host, listeners), seed)| {
-            let config = config::Config {
-                host: host.clone(),
-                platform,
-                seeds: seeds.clone(),
-                lame_duck: Duration::from_millis(200),
-                longest_stop: Duration::from_secs(10),
-                traces: traces.clone(),
-                seed,
-            };
-            Host::start(config, listeners).context(HostSnafu)
-        });
-        Ok(Self {
-            hosts: hosts.collect::<Result<_>>()?,
+        let mut installation = Self {
+            hosts: Vec::new(),
             data,
             store,
             platform,
             fleet,
-        })
+            traces: traces.clone(),
+        };
+        for (index, listeners) in listeners.into_iter().enumerate() {
+            let host = Host::start(installation.config(index), listeners).context(HostSnafu)?;
+            installation.hosts.push(host);
+        }
+        Ok(installation)
+    }
+
+    /// Returns the settings of the host at `index`.
+    fn config(&self, index: usize) -> config::Config {
+        let hosts = &self.data.hosts;
+        config::Config {
+            host: hosts[index].clone(),
+            platform: self.platform,
+            seeds: hosts.iter().map(|host| host.exchange).collect(),
+            lame_duck: LAME_DUCK,
+            longest_stop: Duration::from_secs(10),
+            traces: self.traces.clone(),
+            seed: index as u64,
+        }
+    }
+
+    /// Stops the host at `index` gracefully, starts it anew and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its ports cannot be bound again.
+    pub async fn restart(&mut self, index: usize) -> Result<()> {
+        self.hosts.remove(index).stop().await;
+        let bound = Listeners::bind(&self.data.hosts[index]).await;
+        let started = Host::start(self.config(index), bound.context(HostSnafu)?);
+        let mut host = started.context(HostSnafu)?;
+        host.ready().await;
+        self.hosts.insert(index, host);
+        Ok(())
     }
 
     /// Waits until all hosts serve.
