Call one piece for hashes, wall clock and an installation's intent

Change: the host calls `record::sha256`, the command line and rattanmast-try read `wall::Wall`, and `Installation` plans and confirms for the program, its tests and the example.

--- a/crates/ctl/src/config.rs
+++ b/crates/ctl/src/config.rs
@@ -1,10 +1,8 @@
 //! The settings of one command.
 
-use std::{
-    io::IsTerminal as _,
-    net::SocketAddr,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{io::IsTerminal as _, net::SocketAddr, time::Duration};
+
+use rattanmast_model::wall::Wall;
 
 use crate::cli::{Command, Options};
 
@@ -49,14 +47,9 @@
             platform: options.platform,
             json: options.json,
             color: !options.json && !plain && std::io::stdout().is_terminal(),
-            now_ms,
+            now_ms: || Wall::System.now_ms(),
             reply: Duration::from_secs(1),
         };
         Ok((config, options.command))
     }
 }
-
-fn now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |s| u64::try_from(s.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/host/src/auth.rs
+++ b/crates/host/src/auth.rs
@@ -7,7 +7,7 @@
     outcome::Reason,
     rank::Rank,
 };
-use sha2::{Digest as _, Sha256};
+use rattanmast_state::record;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::problem::{Refusal, Result};
@@ -39,7 +39,7 @@
             .get(header::AUTHORIZATION)
             .and_then(|value| value.to_str().ok())
             .and_then(|value| value.strip_prefix("Bearer "));
-        let caller = key.and_then(|key| self.by_hash.get(&hashed(key)));
+        let caller = key.and_then(|key| self.by_hash.get(record::sha256(key.as_bytes()).as_str()));
         caller.ok_or_else(|| {
             Refusal::not_run(
                 StatusCode::UNAUTHORIZED,
@@ -51,15 +51,6 @@
     }
 }
 
-/// Returns the SHA-256 hash of a key, in lower-case hexadecimal.
-pub fn hashed(key: &str) -> SmolStr {
-    Sha256::digest(key.as_bytes())
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect::<String>()
-        .into()
-}
-
 /// Checks that `caller` may ask with `rank`.
 ///
 /// # Errors
--- a/crates/try/examples/rolling.rs
+++ b/crates/try/examples/rolling.rs
@@ -18,9 +18,7 @@
 use rattanmast_fakes::data::key;
 use rattanmast_host::config::Traces;
 use rattanmast_model::preset::Preset;
-use rattanmast_state::{accept, intent, plan};
-use rattanmast_try::{call::Caller, installation::Installation, intent::render};
-use rattanmast_wire::store;
+use rattanmast_try::{call::Caller, installation::Installation};
 use tokio::{task::JoinSet, time};
 
 const SEARCH: &str = "/v1/searches/blade-profile-registry";
@@ -33,11 +31,8 @@
     // 60% of about 640 queries a second, which is what the stand-in leafs can do over sockets.
     let rate = env::args().nth(1).map_or(Ok(380.0), |a| a.parse::<f64>())?;
     let mut installation = Installation::start(Preset::norway(), 1, &Traces::Off).await?;
-    let intent = intent::parse("intent.toml", &render(&installation.data.config()))?;
-    let platform = store::Client::new(installation.platform);
-    let current = accept::current(&platform).await?;
-    let plan = plan::make(&current.record.config, &intent);
-    accept::confirm(&platform, &plan, "example", 1).await?;
+    let plan = installation.plan().await?;
+    installation.confirm(&plan, "example").await?;
     installation.ready().await;
 
     let hosts: Vec<_> = installation.data.hosts.iter().map(|h| h.http).collect();
--- a/crates/try/src/installation.rs
+++ b/crates/try/src/installation.rs
@@ -12,9 +12,17 @@
 };
 use rattanmast_host::{Host, Listeners, config};
 use rattanmast_model::preset::Preset;
+use rattanmast_state::{
+    accept::{self, Done},
+    intent,
+    plan::{self, Plan},
+};
+use rattanmast_wire::store;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 
+use crate::intent::render;
+
 /// A result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -27,6 +35,18 @@
         /// What the system returned.
         source: io::Error,
     },
+    /// The intent was refused.
+    #[snafu(display("{source}"))]
+    Intent {
+        /// Why.
+        source: intent::Error,
+    },
+    /// The plan was not confirmed.
+    #[snafu(display("{source}"))]
+    Confirm {
+        /// Why.
+        source: accept::Error,
+    },
     /// A host could not be set up.
     #[snafu(display("{source}"))]
     Host {
@@ -125,6 +145,31 @@
         Ok(())
     }
 
+    /// Returns the plan that puts the installation's intent in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the intent is refused or the platform does not answer.
+    pub async fn plan(&self) -> Result<Plan> {
+        let text = render(&self.data.config());
+        let intent = intent::parse("intent.toml", &text).context(IntentSnafu)?;
+        let platform = store::Client::new(self.platform);
+        let current = accept::current(&platform).await.context(ConfirmSnafu)?;
+        Ok(plan::make(&current.record.config, &intent))
+    }
+
+    /// Confirms `plan` as the operator `by`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the plan does not take effect.
+    pub async fn confirm(&self, plan: &Plan, by: &str) -> Result<Done> {
+        let platform = store::Client::new(self.platform);
+        let now_ms = Wall::System.now_ms();
+        let done = accept::confirm(&platform, plan, by, now_ms).await;
+        done.context(ConfirmSnafu)
+    }
+
     /// Waits until all hosts serve.
     pub async fn ready(&mut self) {
         for host in &mut self.hosts {
--- a/crates/try/src/show.rs
+++ b/crates/try/src/show.rs
@@ -8,14 +8,13 @@
 use hyper::Method;
 use rattanmast_fakes::data;
 use rattanmast_host::config::Traces;
-use rattanmast_model::{preset::Preset, rank::Rank, wall::Wall};
-use rattanmast_state::{accept, intent, plan};
+use rattanmast_model::{preset::Preset, rank::Rank};
 use rattanmast_try::{
     call::{self, Answer, Caller},
     installation::{self, Installation},
     intent::render,
 };
-use rattanmast_wire::{api, http, store};
+use rattanmast_wire::{api, http};
 use snafu::{ResultExt, Snafu, ensure};
 
 /// A result of this module.
@@ -41,24 +40,12 @@
 /// Which step failed.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// The installation did not start.
+    /// The installation did not start, or its intent was not put in force.
     #[snafu(display("{source}"))]
     Start {
         /// Why.
         source: installation::Error,
     },
-    /// The intent was refused.
-    #[snafu(display("{source}"))]
-    Intent {
-        /// Why.
-        source: intent::Error,
-    },
-    /// The plan was not confirmed.
-    #[snafu(display("{source}"))]
-    Confirm {
-        /// Why.
-        source: accept::Error,
-    },
     /// A call had no answer.
     #[snafu(display("{source}"))]
     Call {
@@ -120,11 +107,7 @@
 
 /// States an intent, shows the plan and confirms it, as an operator does.
 async fn state_intent(installation: &Installation) -> Result<()> {
-    let text = render(&installation.data.config());
-    let intent = intent::parse("intent.toml", &text).context(IntentSnafu)?;
-    let platform = store::Client::new(installation.platform);
-    let current = accept::current(&platform).await.context(ConfirmSnafu)?;
-    let plan = plan::make(&current.record.config, &intent);
+    let plan = installation.plan().await.context(StartSnafu)?;
     println!(
         "plan {} on version {}: {} changes",
         &plan.digest[..12],
@@ -134,8 +117,8 @@
     for effect in &plan.effects {
         println!("  {}", effect.text);
     }
-    let done = accept::confirm(&platform, &plan, "operator", unix_ms()).await;
-    let done = done.context(ConfirmSnafu)?;
+    let done = installation.confirm(&plan, "operator").await;
+    let done = done.context(StartSnafu)?;
     println!("confirmed: version {} by {}", done.version.0, done.by);
     Ok(())
 }
@@ -275,10 +258,6 @@
     unexpected_of(step, answer).build()
 }
 
-fn unix_ms() -> u64 {
-    Wall::System.now_ms()
-}
-
 /// Returns a new UUIDv7.
 fn uuid(seed: u64) -> String {
     let now = SystemTime::now()
--- a/crates/try/tests/interface.rs
+++ b/crates/try/tests/interface.rs
@@ -12,13 +12,10 @@
     config::{Config, Traces},
 };
 use rattanmast_model::preset::Preset;
-use rattanmast_state::{accept, intent, plan};
 use rattanmast_try::{
     call::{Answer, Caller},
     installation::Installation,
-    intent::render,
 };
-use rattanmast_wire::store;
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -28,12 +25,8 @@
 async fn installation() -> Installation {
     let started = Installation::start(Preset::norway(), 7, &Traces::Off).await;
     let mut installation = started.unwrap();
-    let text = render(&installation.data.config());
-    let intent = intent::parse("intent.toml", &text).unwrap();
-    let platform = store::Client::new(installation.platform);
-    let current = accept::current(&platform).await.unwrap();
-    let plan = plan::make(&current.record.config, &intent);
-    accept::confirm(&platform, &plan, "test", 1).await.unwrap();
+    let plan = installation.plan().await.unwrap();
+    installation.confirm(&plan, "test").await.unwrap();
     installation.ready().await;
     installation
 }
