Reserve the retry budget only for ranks that send requests

Cause: a fifth of the budget was kept from routine calls and two fifths from intake calls at every service. Change: what is kept is RESERVE times the share of more urgent ranks in recent first tries. Test: the_budget_is_left_only_to_work_that_there_is.

--- a/crates/dispatch/src/forward.rs
+++ b/crates/dispatch/src/forward.rs
@@ -80,7 +80,7 @@
 
     async fn find(&mut self) -> Result<Reply, Cause> {
         // Counted before it is sent: the budget is a share of what callers ask for.
-        self.service.lock().hedge.earn();
+        self.service.lock().hedge.earn(self.terms.rank);
         let lease = self.acquire().await?;
         self.start(lease);
         let mut hedge = self.hedge_at(Instant::now());
--- a/crates/dispatch/src/hedge.rs
+++ b/crates/dispatch/src/hedge.rs
@@ -40,8 +40,8 @@
     fn new(budget: Budget) -> Self;
     /// Takes a new budget.
     fn resize(&mut self, budget: Budget);
-    /// Counts a first try.
-    fn earn(&mut self);
+    /// Counts a first try of a request of `rank`.
+    fn earn(&mut self, rank: Rank);
     /// Returns the learned quantile after which to hedge; `None` means not at all.
     fn level(&self, rank: Rank, open: Open) -> Option<Level>;
     /// Takes one hedge out of the budget, if there is one.
@@ -50,11 +50,19 @@
     fn refund(&mut self);
 }
 
+/// The share of the budget that is left to more urgent ranks, if all first tries are theirs.
+const RESERVE: f64 = 0.4;
+
+/// The weight of one first try in the shares of the ranks.
+const SHARE_WEIGHT: f64 = 0.02;
+
 /// Hedges on evidence, within a budget.
 #[derive(Debug)]
 pub struct Evidence {
     budget: Budget,
     credit: f64,
+    /// The share of each rank in recent first tries.
+    shares: [f64; 3],
 }
 
 impl Hedge for Evidence {
@@ -62,6 +70,7 @@
         Self {
             budget,
             credit: budget.start,
+            shares: [0.0; 3],
         }
     }
 
@@ -70,8 +79,12 @@
         self.credit = self.credit.min(budget.burst);
     }
 
-    fn earn(&mut self) {
+    fn earn(&mut self, rank: Rank) {
         self.credit = (self.credit + self.budget.share).min(self.budget.burst);
+        for (index, share) in self.shares.iter_mut().enumerate() {
+            let seen = f64::from(u8::from(index == rank.index()));
+            *share += SHARE_WEIGHT * (seen - *share);
+        }
     }
 
     /// A scarce budget is kept for the slowest requests, an ample one is used earlier, most of
@@ -87,13 +100,10 @@
         })
     }
 
-    /// The last part of the budget is left to urgent work.
+    /// The last part of the budget is left to more urgent work, as far as there is any.
     fn spend(&mut self, rank: Rank) -> bool {
-        let keep = match rank {
-            Rank::Urgent => 0.0,
-            Rank::Routine => 0.2 * self.budget.burst,
-            Rank::Intake => 0.4 * self.budget.burst,
-        };
+        let urgent: f64 = self.shares[..rank.index()].iter().sum();
+        let keep = RESERVE * urgent * self.budget.burst;
         let afford = self.credit >= 1.0 + keep;
         if afford {
             self.credit -= 1.0;
@@ -117,7 +127,7 @@
 
     fn resize(&mut self, _budget: Budget) {}
 
-    fn earn(&mut self) {}
+    fn earn(&mut self, _rank: Rank) {}
 
     fn level(&self, _rank: Rank, _open: Open) -> Option<Level> {
         None
--- a/crates/dispatch/src/search.rs
+++ b/crates/dispatch/src/search.rs
@@ -107,7 +107,7 @@
 
     async fn find(&mut self) -> Result<(), Cause> {
         let lease = self.acquire().await?;
-        self.service.lock().hedge.earn();
+        self.service.lock().hedge.earn(self.message.rank);
         self.start(lease);
         let mut hedge = self.hedge_at(Instant::now());
         loop {
--- a/crates/dispatch/tests/hedges.rs
+++ b/crates/dispatch/tests/hedges.rs
@@ -163,7 +163,7 @@
             let rank = Rank::ALL[usize::from(rank % 3)];
             match earn {
                 true => {
-                    budget.earn();
+                    budget.earn(rank);
                     earned += Budget::default().share;
                 }
                 false if budget.spend(rank) => spent += 1.0,
@@ -173,3 +173,25 @@
         }
     });
 }
+
+/// Guards against a service with one rank only whose requests get no second try, because the
+/// budget is left to work that never comes.
+#[test]
+fn the_budget_is_left_only_to_work_that_there_is() {
+    let budget = Budget {
+        share: 0.2,
+        burst: 5.0,
+        start: 2.5,
+    };
+    let mut alone = Evidence::new(budget);
+    alone.earn(Rank::Intake);
+    assert!(alone.spend(Rank::Intake) && alone.spend(Rank::Intake));
+    let mut mixed = Evidence::new(budget);
+    for _ in 0..200 {
+        mixed.earn(Rank::Urgent);
+        mixed.earn(Rank::Intake);
+    }
+    let spent = (0..5).filter(|_| mixed.spend(Rank::Intake)).count();
+    assert_eq!(spent, 4);
+    assert!(mixed.spend(Rank::Urgent));
+}
