Let a shed count more against its leaf

A host sends a leaf about five requests a second, and a shed lowered its standing by a tenth only, which fades within a second, so 31% of the parts still went to leafs that shed. Each shed costs a second request out of the shared budget; without one the part is lost, and 340 searches ended as 502. Change: a shed lowers the success of a leaf to 0.7 of it in place of 0.9.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -65,7 +65,7 @@
 
     /// Notes that the leaf shed a request: it is worth less, but not left out.
     pub(crate) fn shed(&mut self, now: Instant) {
-        self.success = 0.9 * self.success(now);
+        self.success = 0.7 * self.success(now);
         self.last = Some(now);
     }
 
