--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -14,7 +14,7 @@
 
 /// The half-life of failures that no newer reply confirms: a leaf that gets no requests could
 /// not show otherwise that it works again.
-const STALE: f64 = 1.0;
+const STALE: f64 = 1.5;
 
 /// Recent failures of a leaf.
 #[derive(Debug)]
@@ -65,7 +65,7 @@
 
     /// Notes that the leaf shed a request: it is worth less, but not left out.
     pub(crate) fn shed(&mut self, now: Instant) {
-        self.success = 0.7 * self.success(now);
+        self.success = 0.6 * self.success(now);
         self.last = Some(now);
     }
 
