Take the last change of an entry, and pass on only what is news

Cause 1: an entry that was deleted and written again between two reads of the store was read as put and gone, and gone won, so the leaf was lost until its entry changed again.

--- a/crates/dispatch/tests/forward.rs
+++ b/crates/dispatch/tests/forward.rs
@@ -156,6 +156,7 @@
                 http: addr,
                 hop: addr,
                 exchange: addr,
+                link_mbps: 0,
             }],
             collections: vec![Collection {
                 name: "billing".into(),
--- a/crates/fakes/src/data.rs
+++ b/crates/fakes/src/data.rs
@@ -63,6 +63,7 @@
                 http: local(port),
                 hop: local(port + 1),
                 exchange: local(port + 2),
+                link_mbps: 0,
             })
             .collect();
         let leafs = preset
--- a/crates/gather/tests/domain.rs
+++ b/crates/gather/tests/domain.rs
@@ -138,6 +138,7 @@
         http: addr,
         hop: addr,
         exchange: addr,
+        link_mbps: 0,
     };
     let hosts = (0..4).flat_map(|i| [host("east", i), host("west", i)]);
     let collection = |i: usize| Collection {
--- a/crates/host/src/cli.rs
+++ b/crates/host/src/cli.rs
@@ -118,6 +118,7 @@
                 http: self.http,
                 hop: self.hop,
                 exchange: self.exchange,
+                link_mbps: 0,
             },
             platform: self.platform,
             seeds: self.seeds,
--- a/crates/model/src/feed.rs
+++ b/crates/model/src/feed.rs
@@ -1,6 +1,6 @@
 //! News of the platform's objects, as hosts pass them on to each other.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use bytes::Bytes;
 use futures::Stream;
@@ -40,6 +40,26 @@
     Current(bool),
 }
 
+impl Update {
+    /// Returns the changes of `kind` that follow each other in `changes`; `None` is a deletion.
+    ///
+    /// Only the last change of each object counts, since an update has no order.
+    pub fn changes(
+        kind: SmolStr,
+        changes: impl IntoIterator<Item = (SmolStr, Option<Bytes>)>,
+    ) -> Self {
+        let last: BTreeMap<SmolStr, Option<Bytes>> = changes.into_iter().collect();
+        let (mut put, mut gone) = (Vec::new(), Vec::new());
+        for (name, content) in last {
+            match content {
+                Some(content) => put.push(Object { name, content }),
+                None => gone.push(name),
+            }
+        }
+        Self::Changes { kind, put, gone }
+    }
+}
+
 /// Follows what other hosts know.
 pub trait Followed: Clone + Send + Sync + 'static {
     /// What a host learns.
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -36,6 +36,9 @@
     pub hop: SocketAddr,
     /// Where other hosts reach the host's tarpc service.
     pub exchange: SocketAddr,
+    /// What the host's network link carries, in megabits a second; zero if it is not known.
+    #[serde(skip)]
+    pub link_mbps: u32,
 }
 
 /// The platform's word about a host or leaf; it lags.
--- a/crates/model/src/roster.rs
+++ b/crates/model/src/roster.rs
@@ -77,8 +77,11 @@
 pub const READERS: usize = 3;
 
 /// Returns the hosts of `domain` that read the platform on behalf of the others.
+///
+/// Each sends all that is known to many hosts at once, so those with the widest links go first.
 pub fn readers<'a>(hosts: &'a [Host], domain: &str) -> Vec<&'a Host> {
     let mut readers = within(hosts, domain, &[b"readers"]);
+    readers.sort_by_key(|host| std::cmp::Reverse(host.link_mbps));
     readers.truncate(READERS);
     readers
 }
--- /dev/null
+++ b/crates/model/tests/feed.rs
@@ -0,0 +1,29 @@
+//! News of objects.
+
+use bytes::Bytes;
+use rattanmast_model::feed::{Object, Update};
+
+/// Guards against a leaf that is lost because its entry was removed and written again at once.
+#[test]
+fn the_last_change_of_an_object_counts() {
+    let content = |text: &'static str| Some(Bytes::from_static(text.as_bytes()));
+    let changes = [
+        ("back", None),
+        ("changed", content("old")),
+        ("back", content("new")),
+        ("changed", content("newer")),
+        ("gone", content("old")),
+        ("gone", None),
+    ];
+    let changes = changes.map(|(name, content)| (name.into(), content));
+    let object = |name: &str, content: &'static str| Object {
+        name: name.into(),
+        content: content.into(),
+    };
+    let expected = Update::Changes {
+        kind: "leafs".into(),
+        put: vec![object("back", "new"), object("changed", "newer")],
+        gone: vec!["gone".into()],
+    };
+    assert_eq!(Update::changes("leafs".into(), changes), expected);
+}
--- /dev/null
+++ b/crates/model/tests/roster.rs
@@ -0,0 +1,32 @@
+//! Which hosts are responsible for what.
+
+use rattanmast_model::{host::Host, roster};
+
+fn host(name: &str, domain: &str, link_mbps: u32) -> Host {
+    let addr = ([127, 0, 0, 1], 1).into();
+    Host {
+        name: name.into(),
+        domain: domain.into(),
+        http: addr,
+        hop: addr,
+        exchange: addr,
+        link_mbps,
+    }
+}
+
+/// Guards against readers whose links hold up what all hosts of the domain wait for.
+#[test]
+fn readers_have_the_widest_links() {
+    let mut hosts: Vec<Host> = (0..20)
+        .map(|i| host(&format!("h{i}"), "east", 20))
+        .collect();
+    hosts.push(host("wide-1", "east", 200));
+    hosts.push(host("wide-2", "east", 200));
+    hosts.push(host("wide-3", "west", 200));
+    let readers = roster::readers(&hosts, "east");
+    let mut names: Vec<&str> = readers.iter().map(|host| host.name.as_str()).collect();
+    assert_eq!(names.len(), roster::READERS);
+    names[..2].sort_unstable();
+    assert_eq!(names[..2], ["wide-1", "wide-2"]);
+    assert!(readers.iter().all(|host| host.domain == "east"));
+}
--- a/crates/order/tests/orders/sim/mod.rs
+++ b/crates/order/tests/orders/sim/mod.rs
@@ -270,6 +270,7 @@
         http: addr,
         hop: addr,
         exchange: addr,
+        link_mbps: 0,
     };
     let limits = Limits {
         slots: 4,
--- a/crates/state/src/feed.rs
+++ b/crates/state/src/feed.rs
@@ -61,10 +61,10 @@
         self.lock().follower.take()
     }
 
-    /// Takes in what was learned, and tells the followers.
-    pub fn apply(&self, update: &Update) {
+    /// Takes in what was learned, and tells the followers what is new; returns that.
+    pub fn apply(&self, mut update: Update) -> Option<Update> {
         let mut inner = self.lock();
-        match update {
+        match &mut update {
             Update::Current(current) => inner.current = *current,
             Update::All { kind, objects } => {
                 let objects = objects.iter();
@@ -73,16 +73,19 @@
             }
             Update::Changes { kind, put, gone } => {
                 let known = inner.kinds.entry(kind.clone()).or_default();
+                put.retain(|o| known.get(&o.name) != Some(&o.content));
                 known.extend(put.iter().map(|o| (o.name.clone(), o.content.clone())));
-                gone.iter().for_each(|name| {
-                    known.remove(name);
-                });
+                gone.retain(|name| known.remove(name).is_some());
+                if put.is_empty() && gone.is_empty() {
+                    return None;
+                }
             }
         }
         // One that does not keep up is dropped, which ends its stream.
         inner
             .followers
             .retain(|f| f.try_send(update.clone()).is_ok());
+        Some(update)
     }
 }
 
--- a/crates/state/src/follow.rs
+++ b/crates/state/src/follow.rs
@@ -241,9 +241,12 @@
         }
     }
 
+    /// Takes in an update; returns whether anybody still takes what is new in it.
     async fn take(&self, update: Update) -> bool {
-        self.feed.apply(&update);
-        self.sink.send(update).await.is_ok()
+        match self.feed.apply(update) {
+            Some(news) => self.sink.send(news).await.is_ok(),
+            None => !self.sink.is_closed(),
+        }
     }
 }
 
--- a/crates/state/src/intent.rs
+++ b/crates/state/src/intent.rs
@@ -297,6 +297,7 @@
                 http: address(host.http)?,
                 hop: address(host.hop)?,
                 exchange: address(host.exchange)?,
+                link_mbps: 0,
             });
         }
         Ok(list)
--- a/crates/state/tests/follow.rs
+++ b/crates/state/tests/follow.rs
@@ -113,6 +113,7 @@
             http: addr,
             hop: addr,
             exchange: addr,
+            link_mbps: 0,
         }
     };
     (1..=6).map(host).collect()
@@ -196,8 +197,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_feed_tells_all_and_ends_for_those_that_lag() {
     let feed = Feed::new();
-    feed.apply(&all("one"));
-    feed.apply(&Update::Current(true));
+    feed.apply(all("one"));
+    feed.apply(Update::Current(true));
     assert!(feed.is_current());
     let (known, mut changes) = feed.subscribe();
     assert_eq!(known, [all("one")]);
@@ -206,19 +207,44 @@
         put: Vec::new(),
         gone: vec!["main".into()],
     };
-    feed.apply(&change);
+    feed.apply(change.clone());
     assert_eq!(changes.next().await, Some(change));
     let Update::All { objects, .. } = &feed.subscribe().0[0] else {
         panic!("a feed tells whole kinds");
     };
     assert!(objects.is_empty());
     for _ in 0..1_000 {
-        feed.apply(&all("many"));
+        feed.apply(all("many"));
     }
     let told = changes.count().await;
     assert!(told < 1_000, "the stream ended after {told} updates");
 }
 
+/// Guards against work at all followers for changes that change nothing.
+#[test]
+fn what_is_known_is_no_news() {
+    let feed = Feed::new();
+    feed.apply(all("one"));
+    let put = |content: &'static str| Update::Changes {
+        kind: "config".into(),
+        put: vec![Object {
+            name: "main".into(),
+            content: content.into(),
+        }],
+        gone: Vec::new(),
+    };
+    assert_eq!(feed.apply(put("two")), Some(put("two")));
+    assert_eq!(feed.apply(put("two")), None);
+    let gone = |name: &str| Update::Changes {
+        kind: "config".into(),
+        put: Vec::new(),
+        gone: vec![name.into()],
+    };
+    assert_eq!(feed.apply(gone("other")), None);
+    assert_eq!(feed.apply(gone("main")), Some(gone("main")));
+    assert_eq!(feed.apply(put("two")), Some(put("two")));
+}
+
 /// Guards against hosts that know nothing and whose seeds know nothing, while another host knows.
 #[tokio::test(start_paused = true)]
 async fn a_seed_that_knows_nothing_follows_the_host_that_asked_it() {
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -204,6 +204,7 @@
             http: addr(i, 8080),
             hop: addr(i, 8081),
             exchange: addr(i, 8082),
+            link_mbps: 0,
         })
         .collect()
 }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -155,6 +155,7 @@
         http: addr,
         hop: addr,
         exchange: addr,
+        link_mbps: 0,
     }
 }
 
