Test drawn deployments against the promises

Cause: all tests had the sizes of one deployment, while deployments that nobody has seen must be served. Change: a test draws 30 deployments (1 to 6 domains, 1 to 40 hosts, 1 to 300 shards of 1 to 5 leafs, slots, connections, goals, waits, least shares, attempts, names), half of them with leafs that shed, hang, break or are slow, a third with a host that cannot be reached, and checks sets, digests, times, refusals, attempts, connections and extra requests on the paused clock.

--- /dev/null
+++ b/crates/gather/tests/deployments.rs
@@ -0,0 +1,441 @@
+//! Drawn deployments: whatever the numbers of domains, hosts, shards and leafs, and whatever
+//! leafs do, calls are answered truly, in time, and within what leafs and operators allow.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::channel::mpsc;
+use http::{HeaderMap, Method, StatusCode};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rattanmast_dispatch::{Dispatcher, Settings as Dispatching, Spread, hedge::Budget};
+use rattanmast_gather::{
+    domain::Domain,
+    relay::{Answer, Refusal, Relay, Request, Settings},
+};
+use rattanmast_model::{
+    catalog::{Leafs, Service, Snapshot},
+    config::{Collection, Config},
+    forward::{Call, Forward as _, Forwarded, Relays, Reply, Terms},
+    hash::{Map, Set},
+    host::{self, Host, Incarnation, State},
+    leaf::{self, Error, Leaf, Limits, Load},
+    peer,
+    rank::Rank,
+    route::{Gather, Route, Table, Target},
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// Deployments that are drawn; each runs on a paused clock of its own.
+const CASES: u64 = 30;
+
+/// Hosts times shards times leafs of a deployment at most, so that a case takes no seconds.
+const MOST_LINKS: usize = 12_000;
+
+/// Requests beyond the first of each call that all hosts together may send to a service.
+const EXTRA: Budget = Budget {
+    share: 0.2,
+    burst: 58.0,
+    start: 58.0,
+};
+
+/// The sizes and times of a deployment.
+#[derive(Clone, Debug)]
+struct Drawn {
+    domains: usize,
+    hosts: usize,
+    shards: usize,
+    leafs: usize,
+    limits: Limits,
+    work_ms: u64,
+    goal_ms: u64,
+    wait_ms: u64,
+    least: f64,
+    attempts: u32,
+    calls: u64,
+    names: String,
+}
+
+impl Drawn {
+    fn draw(rng: &mut SmallRng) -> Self {
+        let (hosts, leafs) = (rng.random_range(1..=40), rng.random_range(1..=5));
+        let goal_ms = rng.random_range(20..1_000);
+        Self {
+            domains: rng.random_range(1..=6),
+            hosts,
+            shards: rng.random_range(1..=300).min(MOST_LINKS / hosts / leafs),
+            leafs,
+            limits: Limits {
+                slots: rng.random_range(1..=8),
+                connections: rng.random_range(1..=200),
+                open_ms: 1,
+            },
+            work_ms: rng.random_range(1..100),
+            goal_ms,
+            wait_ms: goal_ms * rng.random_range(1..=10),
+            least: rng.random_range(0.3..=1.0),
+            attempts: rng.random_range(1..=3),
+            calls: rng.random_range(5..40),
+            names: ["a", "leaf.x", "ü", "0"][rng.random_range(0..4)].repeat(rng.random_range(1..9)),
+        }
+    }
+
+    fn service(&self, index: usize) -> Service {
+        Service {
+            collection: format!("{}-{index}", self.names).into(),
+            index: 0,
+        }
+    }
+
+    fn roster(&self) -> Vec<Host> {
+        let addr = ([127, 0, 0, 1], 1).into();
+        let host = |i: usize| Host {
+            name: format!("{}-h{i}", self.names).into(),
+            domain: format!("{}-d{}", self.names, i % self.domains).into(),
+            http: addr,
+            hop: addr,
+            exchange: addr,
+            link_mbps: 0,
+        };
+        (0..self.hosts).map(host).collect()
+    }
+
+    fn config(&self) -> Config {
+        let collections = (0..self.shards).map(|i| Collection {
+            name: self.service(i).collection,
+            services: 1,
+            leafs: u16::try_from(self.leafs).unwrap(),
+            limits: self.limits,
+        });
+        Config {
+            hosts: self.roster(),
+            collections: collections.collect(),
+            ..Config::default()
+        }
+    }
+
+    fn leafs(&self) -> Leafs {
+        let leaf = |shard: usize, i: usize| Leaf {
+            name: format!("{}-{shard}-{i}", self.names).into(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            domain: format!("{}-d{}", self.names, i % self.domains).into(),
+            service: self.service(shard),
+            state: State::Live,
+        };
+        let shards = 0..self.shards;
+        let all = shards.flat_map(|shard| (0..self.leafs).map(move |i| leaf(shard, i)));
+        Leafs {
+            leafs: all.collect(),
+        }
+    }
+
+    fn route(&self) -> Route {
+        Route {
+            name: "all".into(),
+            authority: "site".into(),
+            prefix: "/".into(),
+            repeatable: true,
+            attempts: self.attempts,
+            longest_wait: Duration::from_millis(self.wait_ms),
+            goal: Duration::from_millis(self.goal_ms),
+            rank: Rank::Routine,
+            target: Target::All(Gather {
+                services: (0..self.shards).map(|i| self.service(i)).collect(),
+                top: 3,
+                record: 4,
+                least: self.least,
+            }),
+        }
+    }
+}
+
+/// What leafs saw.
+#[derive(Default)]
+struct Seen {
+    open: Map<leaf::Name, u32>,
+    most_open: u32,
+    /// Leafs that each call reached, by service and call.
+    runs: Map<(Service, String), Set<leaf::Name>>,
+    arrivals: Map<Service, u32>,
+}
+
+/// The leafs of a deployment, some of which misbehave.
+#[derive(Clone)]
+struct Fleet {
+    seen: Arc<Mutex<Seen>>,
+    work: Duration,
+    /// The share of requests that fail, hang, are shed or are slow.
+    faults: f64,
+    seed: u64,
+}
+
+struct Link {
+    fleet: Fleet,
+    leaf: Leaf,
+    rng: SmallRng,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        let mut seen = self.fleet.seen.lock().unwrap();
+        *seen.open.get_mut(&self.leaf.name).unwrap() -= 1;
+    }
+}
+
+impl leaf::Connector for Fleet {
+    type Link = Link;
+
+    async fn open(&self, leaf: &Leaf) -> leaf::Result<Link> {
+        let mut seen = self.seen.lock().unwrap();
+        let open = seen.open.entry(leaf.name.clone()).or_default();
+        *open += 1;
+        let open = *open;
+        seen.most_open = seen.most_open.max(open);
+        Ok(Link {
+            fleet: self.clone(),
+            leaf: leaf.clone(),
+            rng: SmallRng::seed_from_u64(self.seed ^ u64::from(open)),
+        })
+    }
+}
+
+impl leaf::Link for Link {
+    const CANCELS: bool = false;
+
+    fn is_open(&self) -> bool {
+        true
+    }
+
+    async fn close(self, _wait: Duration) -> bool {
+        true
+    }
+}
+
+impl leaf::Forwarder for Link {
+    async fn forward(&mut self, forward: &leaf::Forward) -> leaf::Result<Reply> {
+        let service = self.leaf.service.clone();
+        {
+            let mut seen = self.fleet.seen.lock().unwrap();
+            *seen.arrivals.entry(service.clone()).or_default() += 1;
+        }
+        let load = Load::default();
+        let fate = self.rng.random::<f64>() / self.fleet.faults.max(1e-9);
+        if fate < 0.2 {
+            return Err(Error::Shed { load });
+        }
+        {
+            let key = (service, forward.call.id.to_string());
+            let mut seen = self.fleet.seen.lock().unwrap();
+            let leafs = seen.runs.entry(key).or_default();
+            leafs.insert(self.leaf.name.clone());
+        }
+        match fate {
+            fate if fate < 0.4 => std::future::pending().await,
+            fate if fate < 0.6 => Err(Error::Broken {
+                why: "reset".into(),
+            }),
+            fate => {
+                let factor = if fate < 1.0 { 10 } else { 1 };
+                sleep(self.fleet.work * factor).await;
+                Ok(Reply {
+                    status: StatusCode::OK,
+                    headers: HeaderMap::new(),
+                    body: Bytes::from_static(b"word"),
+                    digest: Some(format!("{}.{}", self.leaf.name, forward.call.id).into()),
+                })
+            }
+        }
+    }
+}
+
+/// The dispatchers of all hosts; one of them may be unreachable.
+#[derive(Clone, Default)]
+struct Peers {
+    hosts: Arc<Mutex<Map<host::Name, Dispatcher<Fleet>>>>,
+    lost: Option<host::Name>,
+}
+
+impl Relays for Peers {
+    type Parts = mpsc::UnboundedReceiver<peer::Result<(usize, Forwarded)>>;
+
+    async fn relay(
+        &self,
+        host: &host::Name,
+        services: Vec<Service>,
+        call: &Call,
+        terms: Terms,
+    ) -> peer::Result<Self::Parts> {
+        if self.lost.as_ref() == Some(host) {
+            return Err(peer::Error::Connect { host: host.clone() });
+        }
+        let dispatcher = self.hosts.lock().unwrap()[host].clone();
+        let (parts, receiver) = mpsc::unbounded();
+        let call = Arc::new(call.clone());
+        tokio::spawn(async move {
+            use futures::StreamExt as _;
+            let mut all = dispatcher.forward_all(&services, &call, terms);
+            while let Some(part) = all.next().await {
+                // The caller has its answer already.
+                let _gone = parts.unbounded_send(Ok(part));
+            }
+        });
+        Ok(receiver)
+    }
+}
+
+type Serving = Arc<Relay<Domain<Dispatcher<Fleet>, Peers>>>;
+
+fn start(drawn: &Drawn, fleet: &Fleet, rng: &mut SmallRng) -> Vec<Serving> {
+    let config = Arc::new(drawn.config());
+    let leafs = Arc::new(drawn.leafs());
+    let lost = rng.random_bool(0.3).then(|| config.hosts[0].name.clone());
+    let peers = Peers {
+        lost,
+        ..Peers::default()
+    };
+    let settings = Dispatching {
+        spread: Spread::Domain,
+        hedges: EXTRA,
+        ..Dispatching::default()
+    };
+    let host = |host: &Host| {
+        let (name, run) = (host.name.clone(), Incarnation(1));
+        let dispatcher = Dispatcher::new(
+            name.clone(),
+            run,
+            fleet.clone(),
+            settings.clone(),
+            fleet.seed,
+        );
+        dispatcher.apply(Arc::clone(&config), Arc::clone(&leafs));
+        peers
+            .hosts
+            .lock()
+            .unwrap()
+            .insert(name.clone(), dispatcher.clone());
+        let domain = Domain::new(name, dispatcher, peers.clone());
+        domain.apply(&config);
+        Arc::new(Relay::new(domain, Settings::default(), fleet.seed))
+    };
+    config.hosts.iter().map(host).collect()
+}
+
+fn request(id: u64) -> Request {
+    Request {
+        call: Call {
+            id: format!("r{id}").into(),
+            method: Method::GET,
+            target: "/x".parse().unwrap(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        },
+        authority: "site".into(),
+        received: Instant::now(),
+        fresh: false,
+        wait: None,
+    }
+}
+
+/// Checks one answer; the time that it took is that of the paused clock.
+fn check(drawn: &Drawn, id: u64, took: Duration, result: Result<Answer, Refusal>, fleet: &Fleet) {
+    let wait = Duration::from_millis(drawn.wait_ms);
+    assert!(took <= wait, "call {id} took {took:?}");
+    let reached = |service: &Service| {
+        let seen = fleet.seen.lock().unwrap();
+        seen.runs.contains_key(&(service.clone(), format!("r{id}")))
+    };
+    match result {
+        Ok(Answer::Merged(answer)) => {
+            let (parts, missing) = (answer.digests.len(), answer.missing.len());
+            assert_eq!(parts + missing, drawn.shards, "the parts are one set");
+            assert!(parts as f64 >= drawn.least * drawn.shards as f64 && parts > 0);
+            let distinct: Set<_> = answer.digests.iter().collect();
+            assert_eq!(distinct.len(), parts, "each part counts once");
+            let ours = format!(".r{id}");
+            assert!(answer.digests.iter().all(|d| d.ends_with(&ours)));
+            assert_eq!(answer.body.len(), 4 * parts.min(3));
+        }
+        Ok(Answer::Passed(_)) => panic!("a search is merged"),
+        Err(Refusal::NotRun(_)) => {
+            let ran = (0..drawn.shards).any(|i| reached(&drawn.service(i)));
+            assert!(!ran, "call {id} ran and was refused as not run");
+        }
+        Err(Refusal::Unready | Refusal::NoRoute) => panic!("the route is known"),
+        Err(Refusal::Unknown(_)) => {}
+    }
+}
+
+async fn play(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let drawn = Drawn::draw(&mut rng);
+    println!("seed {seed}: {drawn:?}");
+    let fleet = Fleet {
+        seen: Arc::default(),
+        work: Duration::from_millis(drawn.work_ms),
+        faults: if rng.random_bool(0.5) {
+            rng.random_range(0.0..0.3)
+        } else {
+            0.0
+        },
+        seed,
+    };
+    let hosts = start(&drawn, &fleet, &mut rng);
+    let route = Arc::new(drawn.route());
+    let table = Arc::new(Table::new(Snapshot(1), [drawn.route()]));
+    sleep(Duration::from_millis(50)).await;
+    let mut calls = JoinSet::new();
+    for id in 0..drawn.calls {
+        sleep(Duration::from_millis(rng.random_range(0..50))).await;
+        let host = Arc::clone(&hosts[rng.random_range(0..hosts.len())]);
+        let (route, table) = (Arc::clone(&route), Arc::clone(&table));
+        calls.spawn(async move {
+            let start = Instant::now();
+            let result = host.answer(&table, &route, request(id)).await;
+            (id, start.elapsed(), result)
+        });
+    }
+    while let Some(call) = calls.join_next().await {
+        let (id, took, result) = call.unwrap();
+        check(&drawn, id, took, result, &fleet);
+    }
+    let seen = fleet.seen.lock().unwrap();
+    let most = drawn.limits.connections;
+    assert!(
+        seen.most_open <= most,
+        "{} connections of {most}",
+        seen.most_open
+    );
+    for ((service, id), leafs) in &seen.runs {
+        let most = usize::try_from(drawn.attempts).unwrap();
+        assert!(
+            leafs.len() <= most,
+            "{id} ran at {} leafs of {service:?}",
+            leafs.len()
+        );
+    }
+    for (service, arrivals) in &seen.arrivals {
+        let calls = u32::try_from(drawn.calls).unwrap();
+        let most = f64::from(calls) * (1.0 + EXTRA.share) + EXTRA.burst;
+        assert!(
+            f64::from(*arrivals) <= most,
+            "{arrivals} requests to {service:?}"
+        );
+    }
+}
+
+/// Guards against decisions that hold only for the sizes and times of known deployments.
+#[test]
+fn any_deployment_is_served_within_its_limits() {
+    for seed in 0..CASES {
+        let runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = { runtime }.enable_time().start_paused(true).build();
+        runtime.unwrap().block_on(play(seed));
+    }
+}
