Show what is left of the retry budget, and the process's memory, as metrics

Cause: the page for operators could not say whether parts were lost because the budget of second requests was spent, and a process near its memory limit looked like any other. Change: gauges hedges_left and hedges_spent of the dispatcher, and the process metrics of the prometheus library (memory, processor time, descriptors).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -30,6 +30,7 @@
 use crate::{
     Settings, Stats,
     assignment::{self, Assignment},
+    hedge::Hedge as _,
     latency::Pace,
     orders::{self, not_run, unknown},
     policy::{Adaptive, Plain, Policy},
@@ -229,6 +230,10 @@
                 stats.open_connections += u64::from(replica.pool.counted());
                 stats.in_flight += u64::from(replica.in_flight);
             }
+            let credit = state.hedge.credit();
+            // The fraction is no request; the cast drops it.
+            stats.hedges_left += credit as u64;
+            stats.hedges_spent += u64::from(credit < 1.0);
             let (queued, waits) = (state.queue.lengths(), state.waits(now));
             for rank in Rank::ALL.map(Rank::index) {
                 let us = u64::from(micros(waits[rank]));
--- a/crates/dispatch/src/hedge.rs
+++ b/crates/dispatch/src/hedge.rs
@@ -48,6 +48,8 @@
     fn spend(&mut self, rank: Rank) -> bool;
     /// Puts back a hedge that was not sent.
     fn refund(&mut self);
+    /// Returns how many hedges are saved up.
+    fn credit(&self) -> f64;
 }
 
 /// The share of the budget that is left to more urgent ranks, if all first tries are theirs.
@@ -114,6 +116,10 @@
     fn refund(&mut self) {
         self.credit = (self.credit + 1.0).min(self.budget.burst);
     }
+
+    fn credit(&self) -> f64 {
+        self.credit
+    }
 }
 
 /// Never hedges.
@@ -138,4 +144,8 @@
     }
 
     fn refund(&mut self) {}
+
+    fn credit(&self) -> f64 {
+        0.0
+    }
 }
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -35,6 +35,10 @@
     pub queued: [u64; 3],
     /// Requests at leafs now.
     pub in_flight: u64,
+    /// Second requests that are saved up now, over all services.
+    pub hedges_left: u64,
+    /// Services for which not one second request is saved up now.
+    pub hedges_spent: u64,
     /// Longest expected wait of any service now, by rank, in microseconds.
     pub waits_us: [u64; 3],
     /// Time at leafs that requests have used, by rank, in microseconds.
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    TextEncoder, process_collector::ProcessCollector,
 };
 use rattanmast_model::rank::Rank;
 
@@ -37,6 +37,11 @@
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
+        // Memory, processor time and descriptors of this process.
+        let process = Box::new(ProcessCollector::for_self());
+        registry
+            .register(process)
+            .expect("metric names are distinct");
         let counter = |name, help, labels: &[&str]| {
             IntCounterVec::new(Opts::new(name, help), labels).expect("metric name is valid")
         };
