Remove the entries of hosts that are gone for good

Cause: a host that fails without a stop leaves its entry in the store, and nothing removed it. An own entry that went, for example by a late delete of the process before, was never written again. Change: each host looks after the next one of its failure domain, one connection each 10 s, and removes its entry, if unchanged, after a minute without an answer; a host enters again when a list lacks it. No call to the store while all is well. Tests: crates/state/tests/patrol.rs, hosts_that_are_gone_lose_their_entries_and_others_keep_them.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod listing;
 pub mod member;
 pub mod node;
+pub mod patrol;
 pub mod plan;
 pub mod proof;
 pub mod record;
