Keep 18 ms back from the goal for the way of a merged answer

Cause: merged answers that waited for their last parts were sent 12 ms before the goal (18 ms on a new connection). Change: 18 ms, and 24 ms on a new connection.

--- a/crates/gather/src/relay.rs
+++ b/crates/gather/src/relay.rs
@@ -78,7 +78,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            way: Duration::from_millis(12),
+            way: Duration::from_millis(18),
             opening: Duration::from_millis(6),
             margin: Duration::from_millis(10),
         }
