--- a/crates/observe/src/lines.rs
+++ b/crates/observe/src/lines.rs
@@ -12,6 +12,7 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::Duration,
 };
 
 use log::{LevelFilter, SetLoggerError};
@@ -33,14 +34,32 @@
 /// Kinds that have a rate of their own; the others share one.
 const KINDS: usize = 256;
 
-/// The lines that were left out since the start.
+/// Pause between two looks at what waits.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// What became of the lines since the start.
 #[derive(Clone, Debug, Default)]
-pub struct Omitted(Arc<AtomicU64>);
+pub struct Tally {
+    omitted: Arc<AtomicU64>,
+    waiting: Arc<AtomicU64>,
+}
+
+impl Tally {
+    /// Returns how many lines were left out.
+    pub fn omitted(&self) -> u64 {
+        self.omitted.load(Ordering::Relaxed)
+    }
 
-impl Omitted {
-    /// Returns their number.
-    pub fn count(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    /// Blocks until all lines are written, for at most `longest`; returns whether they are.
+    ///
+    /// A process that ends does not wait for the thread that writes.
+    pub fn drain(&self, longest: Duration) -> bool {
+        let mut left = longest;
+        while self.waiting.load(Ordering::Acquire) > 0 && !left.is_zero() {
+            thread::sleep(LOOK);
+            left = left.saturating_sub(LOOK);
+        }
+        self.waiting.load(Ordering::Acquire) == 0
     }
 }
 
@@ -57,7 +76,7 @@
     line: Vec<u8>,
     queue: SyncSender<Vec<u8>>,
     allowances: Map<SmolStr, Allowance>,
-    omitted: Omitted,
+    tally: Tally,
     /// The number of omitted lines that the log has told of.
     told: u64,
 }
@@ -66,22 +85,37 @@
     fn finish(&mut self) {
         let line = std::mem::take(&mut self.line);
         if !self.allows(&line) {
-            self.omitted.0.fetch_add(1, Ordering::Relaxed);
+            self.omit();
             return;
         }
-        let omitted = self.omitted.count();
+        let omitted = self.tally.omitted();
         if omitted > self.told {
             let count = omitted - self.told;
             let note = format!("event=log_lines_omitted count={count}\n").into_bytes();
-            if self.queue.try_send(note).is_ok() {
+            if self.send(note) {
                 self.told = omitted;
             }
         }
-        if self.queue.try_send(line).is_err() {
-            self.omitted.0.fetch_add(1, Ordering::Relaxed);
+        if !self.send(line) {
+            self.omit();
         }
     }
 
+    fn omit(&self) {
+        self.tally.omitted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Queues a line; returns whether there was room.
+    fn send(&self, line: Vec<u8>) -> bool {
+        // Counted first, so that the thread never takes off what was not added.
+        self.tally.waiting.fetch_add(1, Ordering::AcqRel);
+        let sent = self.queue.try_send(line).is_ok();
+        if !sent {
+            self.tally.waiting.fetch_sub(1, Ordering::AcqRel);
+        }
+        sent
+    }
+
     fn allows(&mut self, line: &[u8]) -> bool {
         let now = Instant::now();
         let kind = kind(line);
@@ -132,38 +166,41 @@
     }
 }
 
-/// Returns a writer that passes lines on to `output`, and the count of those it leaves out.
+/// Returns a writer that passes lines on to `output`, and the count of what became of them.
 ///
 /// # Errors
 ///
 /// Returns the system's error if no thread can be started.
-pub fn writer<W: Write + Send + 'static>(output: W) -> io::Result<(impl Write + Send, Omitted)> {
+pub fn writer<W: Write + Send + 'static>(output: W) -> io::Result<(impl Write + Send, Tally)> {
     let (queue, lines) = sync_channel(QUEUE);
     let thread = thread::Builder::new().name("log".to_owned());
-    thread.spawn(move || write(&lines, output))?;
-    let omitted = Omitted::default();
+    let tally = Tally::default();
+    let waiting = Arc::clone(&tally.waiting);
+    thread.spawn(move || write(&lines, output, &waiting))?;
     let writer = Lines {
         line: Vec::new(),
         queue,
         allowances: Map::default(),
-        omitted: omitted.clone(),
+        tally: tally.clone(),
         told: 0,
     };
-    Ok((writer, omitted))
+    Ok((writer, tally))
 }
 
-fn write<W: Write>(lines: &Receiver<Vec<u8>>, mut output: W) {
+fn write<W: Write>(lines: &Receiver<Vec<u8>>, mut output: W, waiting: &AtomicU64) {
     while let Ok(mut text) = lines.recv() {
+        let mut count = 1;
         // What waits is written at once: each write costs a wake-up.
-        lines
-            .try_iter()
-            .take(QUEUE)
-            .for_each(|line| text.extend(line));
+        lines.try_iter().take(QUEUE).for_each(|line| {
+            text.extend(line);
+            count += 1;
+        });
         let written = output.write_all(&text).and_then(|()| output.flush());
         if written.is_err() {
             // Without a reader there is nobody to tell; the counter goes on.
             return;
         }
+        waiting.fetch_sub(count, Ordering::AcqRel);
     }
 }
 
@@ -192,12 +229,12 @@
 /// # Errors
 ///
 /// Says why there can be no log.
-pub fn start(level: LevelFilter) -> Result<Omitted> {
+pub fn start(level: LevelFilter) -> Result<Tally> {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .add_filter_allow_str("rattanmast")
         .build();
-    let (writer, omitted) = writer(io::stdout()).context(ThreadSnafu)?;
+    let (writer, tally) = writer(io::stdout()).context(ThreadSnafu)?;
     WriteLogger::init(level, config, writer).context(StartedSnafu)?;
-    Ok(omitted)
+    Ok(tally)
 }
--- a/crates/observe/tests/lines.rs
+++ b/crates/observe/tests/lines.rs
@@ -8,9 +8,10 @@
         Arc, Mutex,
         mpsc::{Receiver, Sender, channel},
     },
+    time::Duration,
 };
 
-use rattanmast_observe::lines::{Omitted, writer};
+use rattanmast_observe::lines::{Tally, writer};
 
 /// An output whose writes wait until the test lets them through.
 struct Pipe {
@@ -34,7 +35,7 @@
 
 struct Env {
     log: Box<dyn Write>,
-    omitted: Omitted,
+    tally: Tally,
     text: Arc<Mutex<Vec<u8>>>,
     open: Sender<()>,
     written: Receiver<()>,
@@ -49,10 +50,10 @@
         open: gate,
         written: told,
     };
-    let (log, omitted) = writer(pipe).unwrap();
+    let (log, tally) = writer(pipe).unwrap();
     Env {
         log: Box::new(log),
-        omitted,
+        tally,
         text,
         open,
         written,
@@ -67,7 +68,7 @@
         // Each kind stays below its own rate, so only the queue bounds them.
         writeln!(env.log, "event=kind{} number={i}", i % 200).unwrap();
     }
-    assert!(env.omitted.count() > 10_000, "{}", env.omitted.count());
+    assert!(env.tally.omitted() > 10_000, "{}", env.tally.omitted());
     for _ in 0..2 {
         env.open.send(()).unwrap();
         env.written.recv().unwrap();
@@ -80,6 +81,20 @@
     assert!(text.ends_with("event=after\n"));
 }
 
+/// Guards against last lines that are lost because the process ends, and against an end that waits
+/// for a reader that has stopped.
+#[test]
+fn the_end_waits_for_the_last_lines_but_not_for_ever() {
+    let mut env = env();
+    writeln!(env.log, "event=stopped").unwrap();
+    assert!(!env.tally.drain(Duration::from_millis(20)));
+    env.open.send(()).unwrap();
+    env.written.recv().unwrap();
+    assert!(env.tally.drain(Duration::from_secs(60)));
+    let text = String::from_utf8(env.text.lock().unwrap().clone()).unwrap();
+    assert_eq!(text, "event=stopped\n");
+}
+
 /// Guards against one kind of line that crowds out all others.
 #[test]
 fn a_kind_that_comes_in_masses_leaves_others_their_place() {
@@ -89,7 +104,7 @@
         writeln!(env.log, " number={i}").unwrap();
     }
     writeln!(env.log, "[INFO] event=rare request=r1").unwrap();
-    assert!(env.omitted.count() >= 1_000);
+    assert!(env.tally.omitted() >= 1_000);
     for _ in 0..2 {
         env.open.send(()).unwrap();
     }
