--- a/crates/dispatch/tests/forward.rs
+++ b/crates/dispatch/tests/forward.rs
@@ -339,3 +339,28 @@
     sleep(Duration::from_secs(3)).await;
     assert!(send(&dispatcher, true).await.result.is_ok());
 }
+
+/// Guards against second requests that are spent on a leaf that keeps shedding.
+#[tokio::test(start_paused = true)]
+async fn a_leaf_that_sheds_gets_few_requests() {
+    let fleet = Fleet::default();
+    // The leaf that sheds is nearer, so that it would be the first choice.
+    let dispatcher = fleet
+        .dispatcher(&[Act::Reply(10, 200), Act::Reply(20, 200)])
+        .await;
+    for _ in 0..20 {
+        send(&dispatcher, true).await;
+    }
+    fleet.reached();
+    fleet.acts.lock().unwrap().insert("a".to_owned(), Act::Shed);
+    let mut shed = 0;
+    for _ in 0..50 {
+        send(&dispatcher, true).await;
+        sleep(Duration::from_millis(100)).await;
+        shed += fleet.reached().iter().filter(|leaf| *leaf == "a").count();
+    }
+    assert!(
+        shed <= 10,
+        "{shed} of 50 requests went to the leaf that sheds"
+    );
+}
