--- a/crates/state/src/patrol.rs
+++ b/crates/state/src/monitor.rs
@@ -16,7 +16,7 @@
 /// Checks in a row without an answer after which a host is gone: it would have been restarted.
 const MISSES: u32 = 6;
 
-/// What a patrol needs of the outside.
+/// What a monitor needs of the outside.
 pub trait Reach: Send + Sync + 'static {
     /// Tells whether `host` accepts connections.
     fn reaches(&self, host: &Host) -> impl Future<Output = bool> + Send;
@@ -26,7 +26,7 @@
 }
 
 /// Looks after one other host.
-pub struct Patrol<R> {
+pub struct Monitor<R> {
     /// The own host's name.
     pub me: host::Name,
     /// The own host's failure domain.
@@ -37,7 +37,7 @@
     pub reach: R,
 }
 
-impl<R: Reach> Patrol<R> {
+impl<R: Reach> Monitor<R> {
     /// Checks until the future is dropped.
     pub async fn run(self) {
         let (mut watched, mut misses) = (None, 0);
@@ -64,7 +64,7 @@
     /// Returns the host after the own one, in an order that is the same everywhere.
     fn next(&self) -> Option<Host> {
         let hosts = self.roster.borrow();
-        let ring = roster::within(&hosts, &self.domain, &[b"patrol"]);
+        let ring = roster::within(&hosts, &self.domain, &[b"monitor"]);
         let own = ring.iter().position(|host| host.name == self.me)?;
         let next = ring[(own + 1) % ring.len()];
         (next.name != self.me).then(|| next.clone())
--- a/crates/state/tests/patrol.rs
+++ b/crates/state/tests/monitor.rs
@@ -8,7 +8,7 @@
 };
 
 use rattanmast_model::host::{Host, Name};
-use rattanmast_state::patrol::{Patrol, Reach};
+use rattanmast_state::monitor::{Monitor, Reach};
 use tokio::{sync::watch, time};
 
 /// The hosts that do not answer, and those whose entries were removed.
@@ -47,19 +47,19 @@
     }
 }
 
-/// Starts a patrol on each host but the failed one; all share one roster.
+/// Starts a monitor on each host but the failed one; all share one roster.
 fn start(world: &World) -> watch::Sender<Vec<Host>> {
     let mut hosts: Vec<Host> = (0..4).map(|i| host(&format!("h{i}"), "east")).collect();
     hosts.push(host("other", "west"));
     let (sender, roster) = watch::channel(hosts.clone());
     for host in hosts.into_iter().filter(|host| host.name != "h2") {
-        let patrol = Patrol {
+        let monitor = Monitor {
             me: host.name,
             domain: host.domain,
             roster: roster.clone(),
             reach: world.clone(),
         };
-        tokio::spawn(patrol.run());
+        tokio::spawn(monitor.run());
     }
     sender
 }
