--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -16,6 +16,13 @@
 /// not show otherwise that it works again.
 const STALE: f64 = 1.5;
 
+/// What remains of a leaf's success after a failure, and after a shed.
+const AFTER_FAILURE: f64 = 0.8;
+const AFTER_SHED: f64 = 0.6;
+
+/// The weight of one reply in a leaf's success.
+const REPLY_WEIGHT: f64 = 0.1;
+
 /// Recent failures of a leaf.
 #[derive(Debug)]
 pub(crate) struct Health {
@@ -47,7 +54,7 @@
 
     pub(crate) fn succeeded(&mut self, now: Instant) {
         self.success = self.success(now);
-        self.success += 0.1 * (1.0 - self.success);
+        self.success += REPLY_WEIGHT * (1.0 - self.success);
         self.last = Some(now);
         self.row = 0;
         self.interval = FIRST;
@@ -55,7 +62,7 @@
     }
 
     pub(crate) fn failed(&mut self, now: Instant, rng: &mut SmallRng) {
-        self.success = 0.8 * self.success(now);
+        self.success = AFTER_FAILURE * self.success(now);
         self.last = Some(now);
         self.row += 1;
         if self.row >= ROW {
@@ -65,7 +72,7 @@
 
     /// Notes that the leaf shed a request: it is worth less, but not left out.
     pub(crate) fn shed(&mut self, now: Instant) {
-        self.success = 0.6 * self.success(now);
+        self.success = AFTER_SHED * self.success(now);
         self.last = Some(now);
     }
 
