Send wide queries through few strong hosts, and merge their replies there

Cause: one query to 180 services is handed over to one host per service by hash, 48 of a domain's 49 hosts on the large site, and each part comes back in a message of its own with all headers. On 0.12 of a core that alone takes longer than the goal. On fleets with ample connection limits every host sent to every leaf itself, 180 requests over connections that had gone idle.

Change: the senders of a domain are the hosts with the most processor share, as few as have a fifth of the domain's together (3 at least), weighted by share; hosts send directly only up to 64 services in all. The next sender is asked 15 ms after a silent one, and takes over its services while it is suspected. A sender reports outcomes within 3 ms of each other in one message and merges their records. Roles and senders are derived once per roster instead of once per service and update.

The relay's call has a new name: hosts of an older release answer that they do not know it, and the call is then sent directly.

--- a/crates/dispatch/src/assignment.rs
+++ b/crates/dispatch/src/assignment.rs
@@ -6,8 +6,10 @@
     catalog::{self, Leafs},
     config::Config,
     hash::{Map, Set},
-    host, leaf, roster,
+    host, leaf,
+    roster::{self, Senders},
 };
+use smol_str::SmolStr;
 
 use crate::{
     hedge,
@@ -15,12 +17,18 @@
     state::Role,
 };
 
-/// Connections to a leaf that a host may open while the responsible host is silent.
+/// Connections to a leaf that a host may open if it is no candidate of the service.
 const STANDBY_CONNECTIONS: u32 = 1;
 
 /// Minimum burst of a divided hedge budget: below one, no hedge could ever be sent.
 const MIN_HEDGE_BURST: f64 = 1.0;
 
+/// Connections to each leaf that a host keeps open if every host sends directly.
+const WARM_CONNECTIONS_OF_EACH_HOST: u32 = 1;
+
+/// Connections to each leaf that the sender of a failure domain keeps open.
+const WARM_CONNECTIONS_OF_SENDER: u32 = 2;
+
 /// The positions of this host among the candidates of each service.
 ///
 /// They depend on the roster alone and are cached until it changes.
@@ -28,18 +36,37 @@
 pub(crate) struct Assignment {
     config: Option<Arc<Config>>,
     positions: Map<catalog::Service, Option<usize>>,
+    /// The number of failure domains in the roster.
+    domains: u32,
+    /// The number of services in all collections.
+    services: usize,
+    limits: Map<SmolStr, leaf::Limits>,
+    /// The senders of this host's failure domain.
+    senders: Senders,
 }
 
 impl Assignment {
-    /// Sets the configuration, and clears the cached positions if its roster differs.
-    pub(crate) fn apply(&mut self, config: &Arc<Config>) {
+    /// Sets the configuration, and clears the cached positions if they may differ.
+    pub(crate) fn apply(&mut self, me: &host::Name, config: &Arc<Config>) {
         let same_hosts = self
             .config
             .as_ref()
             .is_some_and(|c| c.hosts == config.hosts);
+        let services = config.services();
         if !same_hosts {
+            let domains: Set<&host::Domain> = config.hosts.iter().map(|h| &h.domain).collect();
+            self.domains = u32::try_from(domains.len().max(1)).unwrap_or(u32::MAX);
+            let own = config.hosts.iter().find(|h| h.name == *me);
+            self.senders = own.map_or_else(Senders::default, |own| {
+                Senders::select(&config.hosts, &own.domain)
+            });
+        }
+        if !same_hosts || services != self.services {
             self.positions.clear();
         }
+        self.services = services;
+        let limits = config.collections.iter();
+        self.limits = limits.map(|c| (c.name.clone(), c.limits)).collect();
         self.config = Some(Arc::clone(config));
     }
 
@@ -51,73 +78,121 @@
         settings: &Settings,
     ) -> Option<Role> {
         let config = Arc::clone(self.config.as_ref()?);
-        let limits = config.collection(&service.collection)?.limits;
+        let limits = *self.limits.get(&service.collection)?;
+        let hosts = config.hosts.len();
+        let direct = match settings.spread {
+            Spread::Candidates => false,
+            Spread::AllHosts => true,
+            Spread::Domain => {
+                roster::can_connect_directly(hosts, self.services, limits.connections)
+            }
+        };
         let position = match self.positions.get(service) {
             Some(position) => *position,
             None => {
-                let position = position(&config, me, service, limits.connections, settings);
+                let position = self.position(me, service, direct, settings);
                 self.positions.insert(service.clone(), position);
                 position
             }
         };
-        let holders = holders(&config, limits.connections, settings);
-        let hedges = settings.hedges;
-        let (share, warm, hedges) = match (holders, position) {
-            (None, _) => {
-                let share =
-                    roster::connections_per_candidate(config.hosts.len(), limits.connections);
-                (share, limits.slots + 1, hedges)
-            }
-            (Some(holders), Some(0)) => {
-                let hedges = divide_budget(hedges, holders.count);
-                (holders.share.max(1), holders.warm, hedges)
-            }
-            (Some(_), _) => (STANDBY_CONNECTIONS, 0, divide_budget(hedges, u32::MAX)),
+        let allotment = match settings.spread {
+            Spread::Candidates => Allotment {
+                share: roster::connections_per_candidate(hosts, limits.connections),
+                warm: limits.slots + 1,
+                hedges: settings.hedges,
+            },
+            _ if direct => Allotment::of_each_host(hosts, limits.connections, settings.hedges),
+            _ => Allotment::in_domain(position, self.domains, limits.connections, settings.hedges),
         };
         Some(Role {
             position,
             limits,
-            share,
-            warm,
+            share: allotment.share,
+            warm: allotment.warm,
             floors: config.floors,
-            hedges,
+            hedges: allotment.hedges,
         })
     }
+
+    fn position(
+        &self,
+        me: &host::Name,
+        service: &catalog::Service,
+        direct: bool,
+        settings: &Settings,
+    ) -> Option<usize> {
+        let config = self.config.as_ref()?;
+        config.hosts.iter().find(|h| h.name == *me)?;
+        match settings.spread {
+            Spread::Candidates => {
+                let mut candidates = roster::dispatchers(&config.hosts, service).into_iter();
+                candidates.position(|h| h.name == *me)
+            }
+            _ if direct => Some(0),
+            _ => {
+                let candidates = self.senders.candidates(service);
+                let position = candidates.iter().position(|h| h.name == *me);
+                Some(position.unwrap_or(candidates.len()))
+            }
+        }
+    }
 }
 
-/// The hosts that share the limits of a leaf, and the part of each.
-struct Holders {
-    count: u32,
+/// The part of a service's limits that a host may use.
+struct Allotment {
     share: u32,
     warm: u32,
+    hedges: hedge::Budget,
 }
 
-/// Returns how the limits are shared; `None` if the candidates of the whole fleet share them.
-fn holders(config: &Config, connections: u32, settings: &Settings) -> Option<Holders> {
-    let hosts = config.hosts.len();
-    let direct = match settings.spread {
-        Spread::Candidates => return None,
-        Spread::AllHosts => true,
-        Spread::Domain => roster::can_connect_directly(hosts, connections),
-    };
-    if direct {
+impl Allotment {
+    /// Divides the limits equally among all hosts.
+    fn of_each_host(hosts: usize, connections: u32, hedges: hedge::Budget) -> Self {
         let count = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
-        let share = connections / count;
-        return Some(Holders {
-            count,
-            share,
-            warm: 1,
-        });
+        Self {
+            share: (connections / count).max(1),
+            warm: WARM_CONNECTIONS_OF_EACH_HOST,
+            hedges: divide_budget(hedges, count),
+        }
+    }
+
+    /// Divides the limits among the failure domains: half of a domain's connections are for its
+    /// sender, and the rest for hosts that send while the sender is silent.
+    fn in_domain(
+        position: Option<usize>,
+        domains: u32,
+        connections: u32,
+        hedges: hedge::Budget,
+    ) -> Self {
+        let share = connections / domains / 2;
+        // The budget of a stand-in has to be earned, as the sender may have spent its own.
+        let unearned = |divisor| hedge::Budget {
+            start: 0.0,
+            ..divide_budget(hedges, divisor)
+        };
+        match position {
+            Some(0) => Self {
+                share: share.max(1),
+                warm: WARM_CONNECTIONS_OF_SENDER,
+                hedges: divide_budget(hedges, domains),
+            },
+            Some(1) => Self {
+                share: (share / 2).max(STANDBY_CONNECTIONS),
+                warm: 0,
+                hedges: unearned(domains.saturating_mul(2)),
+            },
+            Some(2) => Self {
+                share: (share / 4).max(STANDBY_CONNECTIONS),
+                warm: 0,
+                hedges: unearned(domains.saturating_mul(4)),
+            },
+            _ => Self {
+                share: STANDBY_CONNECTIONS,
+                warm: 0,
+                hedges: unearned(u32::MAX),
+            },
+        }
     }
-    let domains: Set<&host::Domain> = config.hosts.iter().map(|h| &h.domain).collect();
-    let count = u32::try_from(domains.len().max(1)).unwrap_or(u32::MAX);
-    // Half is left for hosts that send themselves while the responsible one is silent.
-    let share = connections / count / 2;
-    Some(Holders {
-        count,
-        share,
-        warm: 2,
-    })
 }
 
 /// Returns the part of a hedge budget that each of `holders` hosts may use.
@@ -130,28 +205,6 @@
     }
 }
 
-fn position(
-    config: &Config,
-    me: &host::Name,
-    service: &catalog::Service,
-    connections: u32,
-    settings: &Settings,
-) -> Option<usize> {
-    let own = config.hosts.iter().find(|h| h.name == *me)?;
-    match settings.spread {
-        Spread::Candidates => {
-            let mut candidates = roster::dispatchers(&config.hosts, service).into_iter();
-            candidates.position(|h| h.name == *me)
-        }
-        Spread::AllHosts => Some(0),
-        Spread::Domain if roster::can_connect_directly(config.hosts.len(), connections) => Some(0),
-        Spread::Domain => {
-            let sender = roster::sender(&config.hosts, &own.domain, service)?;
-            Some(usize::from(sender.name != *me))
-        }
-    }
-}
-
 /// Groups the leafs by service.
 pub(crate) fn by_service(leafs: &Leafs) -> Map<&catalog::Service, Vec<&leaf::Leaf>> {
     let mut services: Map<&catalog::Service, Vec<&leaf::Leaf>> = Map::default();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -342,7 +342,7 @@
 
     fn apply(&self, config: &Arc<Config>, leafs: &Leafs) {
         let mut assignment = lock(&self.assignment);
-        assignment.apply(config);
+        assignment.apply(&self.me, config);
         let mut services = Map::clone(&self.snapshot());
         let mut listed = assignment::by_service(leafs);
         let settings = &self.shared.settings;
--- a/crates/dispatch/tests/forward.rs
+++ b/crates/dispatch/tests/forward.rs
@@ -161,6 +161,7 @@
                 hop: addr,
                 exchange: addr,
                 link_mbps: 0,
+                cpu_millis: 0,
             }],
             collections: vec![Collection {
                 name: "billing".into(),
@@ -199,6 +200,7 @@
         max_attempts: 2,
         goal: Instant::now() + Duration::from_millis(100),
         deadline: Instant::now() + Duration::from_secs(1),
+        merge: None,
     }
 }
 
--- a/crates/fakes/src/data.rs
+++ b/crates/fakes/src/data.rs
@@ -64,6 +64,7 @@
                 hop: loopback(port + 1),
                 exchange: loopback(port + 2),
                 link_mbps: 0,
+                cpu_millis: 0,
             })
             .collect();
         let leafs = preset
--- a/crates/gather/src/domain.rs
+++ b/crates/gather/src/domain.rs
@@ -3,7 +3,7 @@
 
 use std::{
     pin::pin,
-    sync::{Arc, Mutex, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     task::Poll,
     time::Duration,
 };
@@ -14,27 +14,34 @@
 };
 use rattanmast_model::{
     catalog::Service,
-    config::Config,
-    forward::{self, Call, Completion, Forward, Options, RelayClient},
+    config::{Collection, Config},
+    forward::{self, Batch, Call, Completion, Forward, Options, RelayClient},
     hash::Map,
-    host,
+    host::{self, Host},
     peer::{Cause, Error},
-    roster,
+    roster::{self, Senders},
 };
 use tokio::{
     sync::mpsc,
-    time::{Instant, timeout},
+    time::{Instant, sleep},
 };
 
 /// Time within which a host of the same failure domain must accept a call; the network takes
 /// about a hundredth of it.
 const RELAY_ACCEPT_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// The maximum number of hosts that are asked to accept a call.
+const MAX_HANDOVERS: usize = 2;
+
 /// Time for which calls bypass a host that did not accept a call, or whose connection broke.
 const SUSPICION_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The sender of each service; a service without an entry is sent to directly.
-type Senders = Map<Service, host::Name>;
+/// Time after which a second host is asked to accept a call that the first has not accepted yet.
+const RELAY_RETRY_DELAY: Duration = Duration::from_millis(15);
+
+/// The hosts that may send to each service, in the order of responsibility; a service without an
+/// entry is sent to directly.
+type Candidates = Map<Service, Arc<[host::Name]>>;
 
 /// Sends calls through the hosts of this host's failure domain that are the senders of the
 /// services.
@@ -50,10 +57,30 @@
 
 #[derive(Debug, Default)]
 struct Shared {
-    senders: RwLock<Arc<Senders>>,
+    candidates: RwLock<Arc<Candidates>>,
+    applied: Mutex<Applied>,
     suspected_until: Mutex<Map<host::Name, Instant>>,
 }
 
+/// The roster and the collections from which the candidates were derived.
+#[derive(Debug, Default)]
+struct Applied {
+    hosts: Vec<Host>,
+    collections: Vec<Collection>,
+}
+
+impl Applied {
+    fn has_same_candidates(&self, config: &Config) -> bool {
+        let same = |(a, b): (&Collection, &Collection)| {
+            let services = a.name == b.name && a.services == b.services;
+            services && a.limits.connections == b.limits.connections
+        };
+        self.hosts == config.hosts
+            && self.collections.len() == config.collections.len()
+            && self.collections.iter().zip(&config.collections).all(same)
+    }
+}
+
 impl<L: Clone, R: Clone> Clone for Domain<L, R> {
     fn clone(&self) -> Self {
         Self {
@@ -76,13 +103,32 @@
         }
     }
 
-    /// Updates the senders from the roster and the collections of `config`.
+    /// Updates the candidates from the roster and the collections of `config`.
     pub fn apply(&self, config: &Config) {
-        let own = config.hosts.iter().find(|h| h.name == self.me);
-        let mut senders = Senders::default();
+        let mut applied = lock(&self.shared.applied);
+        if applied.has_same_candidates(config) {
+            return;
+        }
+        *applied = Applied {
+            hosts: config.hosts.clone(),
+            collections: config.collections.clone(),
+        };
+        let candidates = Arc::new(self.derive_candidates(config));
+        let mut current = self.shared.candidates.write();
+        **current
+            .as_mut()
+            .unwrap_or_else(|poisoned| poisoned.get_mut()) = candidates;
+    }
+
+    fn derive_candidates(&self, config: &Config) -> Candidates {
+        let Some(own) = config.hosts.iter().find(|h| h.name == self.me) else {
+            return Candidates::default();
+        };
+        let senders = Senders::select(&config.hosts, &own.domain);
+        let (hosts, services) = (config.hosts.len(), config.services());
+        let mut candidates = Candidates::default();
         for collection in &config.collections {
-            let connections = collection.limits.connections;
-            if roster::can_connect_directly(config.hosts.len(), connections) {
+            if roster::can_connect_directly(hosts, services, collection.limits.connections) {
                 continue;
             }
             for index in 0..collection.services {
@@ -90,47 +136,33 @@
                     collection: collection.name.clone(),
                     index,
                 };
-                let sender = own.and_then(|o| roster::sender(&config.hosts, &o.domain, &service));
-                if let Some(sender) = sender.filter(|s| s.name != self.me) {
-                    senders.insert(service, sender.name.clone());
-                }
+                let hosts = senders.candidates(&service);
+                let names = hosts.iter().map(|host| host.name.clone());
+                candidates.insert(service.clone(), names.collect());
             }
         }
-        let mut current = self
-            .shared
-            .senders
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        *current = Arc::new(senders);
+        candidates
     }
 
-    fn senders(&self) -> Arc<Senders> {
-        let senders = self.shared.senders.read();
-        Arc::clone(&senders.unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Returns the host that is to send to `service`, or `None` for this host.
-    fn sender(&self, senders: &Senders, service: &Service, now: Instant) -> Option<host::Name> {
-        let sender = senders.get(service)?;
-        let mut suspected = self.suspected_until();
-        match suspected.get(sender) {
-            Some(until) if now < *until => None,
-            Some(_) => {
-                suspected.remove(sender);
-                Some(sender.clone())
-            }
-            None => Some(sender.clone()),
-        }
+    fn candidates(&self) -> Arc<Candidates> {
+        let candidates = self.shared.candidates.read();
+        Arc::clone(&candidates.unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn suspected_until(&self) -> std::sync::MutexGuard<'_, Map<host::Name, Instant>> {
-        let suspected = self.shared.suspected_until.lock();
-        suspected.unwrap_or_else(PoisonError::into_inner)
+    /// Returns the hosts that are to send to `service`, the preferred one first; none if this host
+    /// is to send itself.
+    fn senders(&self, candidates: &Candidates, service: &Service, now: Instant) -> Vec<host::Name> {
+        let Some(candidates) = candidates.get(service) else {
+            return Vec::new();
+        };
+        let mut suspected = lock(&self.shared.suspected_until);
+        suspected.retain(|_, until| now < *until);
+        let usable = candidates.iter().filter(|c| !suspected.contains_key(*c));
+        usable.take_while(|c| **c != self.me).cloned().collect()
     }
 
     fn suspect(&self, host: &host::Name, call: &Call, why: &str) {
-        let previous = self
-            .suspected_until()
+        let previous = lock(&self.shared.suspected_until)
             .insert(host.clone(), Instant::now() + SUSPICION_TIMEOUT);
         if previous.is_none() {
             let (request, ms) = (&call.id, SUSPICION_TIMEOUT.as_millis());
@@ -140,19 +172,18 @@
         }
     }
 
-    /// Sends the call to the services at `positions`, through `host` if there is one.
+    /// Sends the call to the services of `group`, through one of its hosts if there are any.
     async fn send(
         &self,
-        host: Option<host::Name>,
-        positions: Vec<usize>,
+        group: Group,
         forwarding: Forwarding<'_>,
-        parts_tx: mpsc::UnboundedSender<(usize, Completion)>,
+        batches_tx: mpsc::UnboundedSender<Batch>,
     ) {
-        let mut remaining = positions;
+        let mut remaining = group.positions;
         let mut options = forwarding.options;
-        if let Some(host) = host {
+        if !group.hosts.is_empty() {
             match self
-                .relay(&host, &mut remaining, forwarding, &parts_tx)
+                .relay(&group.hosts, &mut remaining, forwarding, &batches_tx)
                 .await
             {
                 RelayOutcome::Complete => return,
@@ -172,67 +203,112 @@
                     ..not_sent()
                 };
                 // The receiver outlives this future.
-                let _closed = parts_tx.send((position, forwarded));
+                let _closed = batches_tx.send(Batch::from((position, forwarded)));
             }
             return;
         }
-        let services: Vec<Service> = remaining
-            .iter()
-            .map(|p| forwarding.services[*p].clone())
-            .collect();
+        let services = forwarding.services_at(&remaining);
         let mut local = pin!(self.local.forward_all(&services, forwarding.call, options));
-        while let Some((position, forwarded)) = local.next().await {
-            let _closed = parts_tx.send((remaining[position], forwarded));
+        while let Some(batch) = local.next().await {
+            let _closed = batches_tx.send(batch.map_positions(&remaining));
         }
     }
 
-    /// Relays the call through `host`; leaves the positions without a report in `remaining`.
+    /// Relays the call through one of `hosts`; leaves the positions without a report in
+    /// `remaining`.
     async fn relay(
         &self,
-        host: &host::Name,
+        hosts: &[host::Name],
         remaining: &mut Vec<usize>,
         forwarding: Forwarding<'_>,
-        parts_tx: &mpsc::UnboundedSender<(usize, Completion)>,
+        batches_tx: &mpsc::UnboundedSender<Batch>,
     ) -> RelayOutcome {
-        let services = remaining
-            .iter()
-            .map(|p| forwarding.services[*p].clone())
-            .collect();
         let asked = remaining.clone();
-        let accepted = self
-            .relays
-            .relay(host, services, forwarding.call, forwarding.options);
-        let mut reports = match timeout(RELAY_ACCEPT_TIMEOUT, accepted).await {
-            Ok(Ok(reports)) => reports,
-            Ok(Err(Error::Broken { .. })) => {
-                self.suspect(host, forwarding.call, "connection broke");
-                return RelayOutcome::Interrupted;
-            }
-            Ok(Err(Error::Connect { .. })) => {
-                self.suspect(host, forwarding.call, "connection failed");
-                return RelayOutcome::NotAccepted;
-            }
-            Err(_) => {
-                self.suspect(host, forwarding.call, "no reply in time");
-                return RelayOutcome::NotAccepted;
-            }
+        let (host, mut reports) = match self.hand_over(hosts, &asked, forwarding).await {
+            Ok(accepted) => accepted,
+            Err(outcome) => return outcome,
         };
         while let Some(report) = reports.next().await {
-            let Ok((position, forwarded)) = report else {
+            let Ok(batch) = report else {
                 self.suspect(host, forwarding.call, "connection broke");
                 return RelayOutcome::Interrupted;
             };
-            let Some(position) = asked.get(position).copied() else {
-                continue;
-            };
-            remaining.retain(|p| *p != position);
-            let _closed = parts_tx.send((position, forwarded));
+            if batch.outcomes.iter().any(|(at, _)| *at >= asked.len()) {
+                self.suspect(host, forwarding.call, "it reported an unknown service");
+                return RelayOutcome::Interrupted;
+            }
+            let batch = batch.map_positions(&asked);
+            remaining.retain(|p| batch.outcomes.iter().all(|(reported, _)| reported != p));
+            let _closed = batches_tx.send(batch);
         }
         match remaining.is_empty() {
             true => RelayOutcome::Complete,
             false => RelayOutcome::Interrupted,
         }
     }
+
+    /// Asks the first of `hosts` to accept the call, and also the second if the first fails or is
+    /// slow; returns the host that has accepted it.
+    ///
+    /// A host that has not accepted the call does not send it once its handover is dropped.
+    async fn hand_over<'h>(
+        &self,
+        hosts: &'h [host::Name],
+        positions: &[usize],
+        forwarding: Forwarding<'_>,
+    ) -> Result<(&'h host::Name, R::Parts), RelayOutcome> {
+        let give_up = sleep(RELAY_ACCEPT_TIMEOUT);
+        let mut give_up = pin!(give_up);
+        let mut asking = FuturesUnordered::new();
+        let mut unasked = hosts.iter().take(MAX_HANDOVERS);
+        let ask = |host: &'h host::Name| {
+            let services = forwarding.services_at(positions);
+            let Forwarding { call, options, .. } = forwarding;
+            async move { (host, self.relays.relay(host, services, call, options).await) }
+        };
+        let mut outstanding = Vec::with_capacity(MAX_HANDOVERS);
+        loop {
+            if let Some(host) = unasked.next() {
+                asking.push(ask(host));
+                outstanding.push(host);
+            }
+            let retry = sleep(RELAY_RETRY_DELAY);
+            let (host, result) = tokio::select! {
+                biased;
+                Some(asked) = asking.next() => asked,
+                () = retry, if unasked.len() > 0 => continue,
+                () = &mut give_up => {
+                    for host in outstanding {
+                        self.suspect(host, forwarding.call, "no reply in time");
+                    }
+                    return Err(RelayOutcome::NotAccepted);
+                }
+            };
+            outstanding.retain(|asked| *asked != host);
+            match result {
+                Ok(reports) => {
+                    for slow in outstanding {
+                        self.suspect(
+                            slow,
+                            forwarding.call,
+                            "another host accepted the call first",
+                        );
+                    }
+                    return Ok((host, reports));
+                }
+                Err(Error::Broken { .. }) => {
+                    self.suspect(host, forwarding.call, "connection broke");
+                    return Err(RelayOutcome::Interrupted);
+                }
+                Err(Error::Connect { .. }) => {
+                    self.suspect(host, forwarding.call, "connection failed");
+                    if asking.is_empty() && unasked.len() == 0 {
+                        return Err(RelayOutcome::NotAccepted);
+                    }
+                }
+            }
+        }
+    }
 }
 
 /// The outcome of relaying a call through another host.
@@ -254,14 +330,29 @@
     options: Options,
 }
 
+impl Forwarding<'_> {
+    fn services_at(&self, positions: &[usize]) -> Vec<Service> {
+        let services = positions.iter().map(|p| self.services[*p].clone());
+        services.collect()
+    }
+}
+
+/// Services that are sent to through the same host, as positions in the services of the call.
+struct Group {
+    /// The hosts to hand the call over to, the preferred one first; none for direct sends.
+    hosts: Vec<host::Name>,
+    positions: Vec<usize>,
+}
+
 impl<L: Forward, R: RelayClient> Forward for Domain<L, R> {
     async fn forward(&self, service: &Service, call: Arc<Call>, options: Options) -> Completion {
-        if !self.senders().contains_key(service) {
+        if !self.candidates().contains_key(service) {
             return self.local.forward(service, call, options).await;
         }
         let services = std::slice::from_ref(service);
-        let part = self.forward_all(services, &call, options).next().await;
-        part.map_or_else(not_sent, |(_, forwarded)| forwarded)
+        let batch = self.forward_all(services, &call, options).next().await;
+        let outcome = batch.and_then(|batch| batch.outcomes.into_iter().next());
+        outcome.map_or_else(not_sent, |(_, forwarded)| forwarded)
     }
 
     fn forward_all<'a>(
@@ -269,36 +360,39 @@
         services: &'a [Service],
         call: &'a Arc<Call>,
         options: Options,
-    ) -> impl Stream<Item = (usize, Completion)> + Send + Unpin + 'a {
-        let (senders, now) = (self.senders(), Instant::now());
-        let mut groups: Map<Option<host::Name>, Vec<usize>> = Map::default();
+    ) -> impl Stream<Item = Batch> + Send + Unpin + 'a {
+        let (candidates, now) = (self.candidates(), Instant::now());
+        let mut groups: Map<Option<host::Name>, Group> = Map::default();
         for (position, service) in services.iter().enumerate() {
-            let sender = self.sender(&senders, service, now);
-            groups.entry(sender).or_default().push(position);
+            let hosts = self.senders(&candidates, service, now);
+            let group = groups.entry(hosts.first().cloned()).or_insert(Group {
+                hosts,
+                positions: Vec::new(),
+            });
+            group.positions.push(position);
         }
-        let (parts_tx, mut parts) = mpsc::unbounded_channel();
+        let (batches_tx, mut batches) = mpsc::unbounded_channel();
         let forwarding = Forwarding {
             services,
             call,
             options,
         };
         let mut sends: FuturesUnordered<_> = groups
-            .into_iter()
-            .map(|(host, positions)| {
-                Box::pin(self.send(host, positions, forwarding, parts_tx.clone()))
-            })
+            .into_values()
+            .map(|group| Box::pin(self.send(group, forwarding, batches_tx.clone())))
             .collect();
-        drop(parts_tx);
+        drop(batches_tx);
         stream::poll_fn(move |cx| {
             while let Poll::Ready(Some(())) = sends.poll_next_unpin(cx) {}
-            parts.poll_recv(cx)
+            batches.poll_recv(cx)
         })
     }
 
     fn admits(&self, service: &Service, options: &Options) -> Result<(), Cause> {
-        match self.sender(&self.senders(), service, Instant::now()) {
-            Some(_) => Ok(()),
-            None => self.local.admits(service, options),
+        let senders = self.senders(&self.candidates(), service, Instant::now());
+        match senders.is_empty() {
+            false => Ok(()),
+            true => self.local.admits(service, options),
         }
     }
 }
@@ -314,3 +408,7 @@
         sent: 0,
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 mod attempt;
 pub mod claim;
+pub mod coalesce;
 pub mod cover;
 pub mod domain;
 pub mod gatherer;
--- a/crates/gather/src/relay.rs
+++ b/crates/gather/src/relay.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use rattanmast_model::{
-    forward::{self, Call, Forward, Options, Reply},
+    forward::{self, Call, Forward, Merge, Options, Reply},
     peer::Cause,
     route::{Destination, Route, Table, Target},
 };
@@ -146,6 +146,13 @@
             max_attempts: route.max_attempts.max(1),
             goal: request.received + goal,
             deadline: request.received + timeout - margin,
+            merge: match &route.target {
+                Target::One(_) => None,
+                Target::All(gather) => Some(Merge {
+                    record_bytes: gather.record_bytes,
+                    top_k: gather.top_k,
+                }),
+            },
         };
         let call = Arc::new(request.call);
         match &route.target {
--- a/crates/gather/src/scatter.rs
+++ b/crates/gather/src/scatter.rs
@@ -6,7 +6,8 @@
 use futures::StreamExt as _;
 use rattanmast_model::{
     catalog::{Service, Snapshot},
-    forward::{self, Call, Completion, Forward, Options},
+    forward::{self, Batch, Call, Completion, Forward, Options, Reply},
+    hash::Set,
     peer::Cause,
     route::Gather,
 };
@@ -38,6 +39,7 @@
     gather: &'a Gather,
     version: Snapshot,
     digests: Vec<SmolStr>,
+    known: Set<SmolStr>,
     bodies: Vec<Bytes>,
     arrived: Vec<bool>,
     failed: usize,
@@ -52,6 +54,7 @@
             gather,
             version,
             digests: Vec::with_capacity(gather.services.len()),
+            known: Set::default(),
             bodies: Vec::with_capacity(gather.services.len()),
             arrived: vec![false; gather.services.len()],
             failed: 0,
@@ -72,7 +75,7 @@
         let mut calls = forward.forward_all(&self.gather.services, call, options);
         loop {
             match timeout_at(self.wait_until(&options), calls.next()).await {
-                Ok(Some((index, forwarded))) => self.record(index, forwarded),
+                Ok(Some(batch)) => self.record_batch(batch),
                 Ok(None) => break,
                 Err(_) if self.is_finished(&options) => break,
                 Err(_) => {}
@@ -119,22 +122,37 @@
             || (now >= options.goal && self.has_min_share())
     }
 
+    fn record_batch(&mut self, mut batch: Batch) {
+        // Merged records cannot be attributed to parts, so all of these parts are dropped.
+        let is_duplicate = |c: &Completion| c.result.as_ref().is_ok_and(|r| self.has_digest(r));
+        if batch.records.is_some() && batch.outcomes.iter().any(|(_, c)| is_duplicate(c)) {
+            for (index, completion) in &mut batch.outcomes {
+                self.log_duplicate(*index);
+                completion.result = Err(forward::Error {
+                    cause: Cause::Unreachable,
+                    reply: None,
+                });
+            }
+            batch.records = None;
+        }
+        for (index, completion) in batch.outcomes {
+            self.record(index, completion);
+        }
+        self.bodies.extend(batch.records);
+    }
+
     fn record(&mut self, index: usize, forwarded: Completion) {
         self.begun |= forwarded.begun;
         self.sent += forwarded.sent;
         match forwarded.result {
+            Ok(reply) if self.has_digest(&reply) => {
+                self.log_duplicate(index);
+                self.failed += 1;
+            }
             Ok(reply) if reply.is_success() => {
-                let digest = reply.digest.unwrap_or_default();
-                if self.digests.contains(&digest) {
-                    log::warn!(
-                        "event=part_dropped service={} why=\"its digest equals that of \
-                         another part\"",
-                        self.gather.services[index].collection
-                    );
-                    self.failed += 1;
-                    return;
-                }
                 self.arrived[index] = true;
+                let digest = reply.digest.unwrap_or_default();
+                self.known.insert(digest.clone());
                 self.digests.push(digest);
                 self.bodies.push(reply.body);
             }
@@ -146,6 +164,22 @@
         }
     }
 
+    /// Returns whether an earlier part has the digest of `reply`.
+    fn has_digest(&self, reply: &Reply) -> bool {
+        reply.is_success()
+            && reply
+                .digest
+                .as_ref()
+                .is_some_and(|d| self.known.contains(d))
+    }
+
+    fn log_duplicate(&self, index: usize) {
+        let service = &self.gather.services[index].collection;
+        log::warn!(
+            "event=part_dropped service={service} why=\"its digest equals that of another part\""
+        );
+    }
+
     fn share_of(&self, parts: usize) -> f64 {
         // The number of services is small enough to be exact as `f64`.
         parts as f64 / self.gather.services.len().max(1) as f64
--- a/crates/host/src/cli.rs
+++ b/crates/host/src/cli.rs
@@ -119,6 +119,7 @@
                 hop: self.hop,
                 exchange: self.exchange,
                 link_mbps: 0,
+                cpu_millis: 0,
             },
             platform: self.platform,
             seeds: self.seeds,
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -129,6 +129,12 @@
 }
 
 impl Config {
+    /// Returns the number of services in all collections.
+    pub fn services(&self) -> usize {
+        let services = self.collections.iter().map(|c| usize::from(c.services));
+        services.sum()
+    }
+
     /// Returns the collection named `name`.
     pub fn collection(&self, name: &str) -> Option<&Collection> {
         self.collections.iter().find(|c| c.name == name)
--- a/crates/model/src/forward.rs
+++ b/crates/model/src/forward.rs
@@ -69,6 +69,18 @@
     pub goal: Instant,
     /// The time at which the caller stops waiting.
     pub deadline: Instant,
+    /// How the replies of several services may be merged on their way; `None` if each is needed
+    /// whole.
+    pub merge: Option<Merge>,
+}
+
+/// How the records of several replies are merged: the greatest ones are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Merge {
+    /// The size of a record.
+    pub record_bytes: usize,
+    /// The number of records to keep.
+    pub top_k: usize,
 }
 
 /// The outcome of a call to one service.
@@ -82,6 +94,39 @@
     pub sent: u32,
 }
 
+/// Outcomes of a call at some of its services, which are reported together.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// The index of each service and the outcome of the call there.
+    pub outcomes: Vec<(usize, Completion)>,
+    /// The greatest records of all successful replies, whose bodies are then empty; `None` if each
+    /// reply has its own body.
+    pub records: Option<Bytes>,
+}
+
+impl Batch {
+    /// Replaces each index by the element of `positions` at it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an index is not below the length of `positions`.
+    pub fn map_positions(mut self, positions: &[usize]) -> Self {
+        for (index, _) in &mut self.outcomes {
+            *index = positions[*index];
+        }
+        self
+    }
+}
+
+impl From<(usize, Completion)> for Batch {
+    fn from(outcome: (usize, Completion)) -> Self {
+        Self {
+            outcomes: vec![outcome],
+            records: None,
+        }
+    }
+}
+
 /// Why a call has no usable reply.
 #[derive(Clone, Debug)]
 pub struct Error {
@@ -103,16 +148,17 @@
         options: Options,
     ) -> impl Future<Output = Completion> + Send;
 
-    /// Sends `call` to each of `services`; yields the index in `services` and the outcome of each.
+    /// Sends `call` to each of `services`; yields the outcome of each once, by its index in
+    /// `services`.
     fn forward_all<'a>(
         &'a self,
         services: &'a [Service],
         call: &'a Arc<Call>,
         options: Options,
-    ) -> impl Stream<Item = (usize, Completion)> + Send + Unpin + 'a {
+    ) -> impl Stream<Item = Batch> + Send + Unpin + 'a {
         let send = move |(position, service)| async move {
             let forwarded = self.forward(service, Arc::clone(call), options).await;
-            (position, forwarded)
+            Batch::from((position, forwarded))
         };
         let calls = services.iter().enumerate().map(send);
         calls.collect::<FuturesUnordered<_>>()
@@ -128,8 +174,8 @@
 
 /// A client that relays calls through other hosts.
 pub trait RelayClient: Clone + Send + Sync + 'static {
-    /// The stream of outcomes, each with the index of its service.
-    type Parts: Stream<Item = peer::Result<(usize, Completion)>> + Send + Unpin;
+    /// The stream of outcomes.
+    type Parts: Stream<Item = peer::Result<Batch>> + Send + Unpin;
 
     /// Asks `host` to send `call` to each of `services`; resolves once the host has accepted it.
     ///
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -39,6 +39,9 @@
     /// The bandwidth of the host's network link, in Mbit/s; 0 if unknown.
     #[serde(skip)]
     pub link_mbps: u32,
+    /// The host's share of processor time, in thousandths of a core; 0 if unknown.
+    #[serde(skip)]
+    pub cpu_millis: u32,
 }
 
 /// The state of a host or leaf as the platform lists it, which lags behind the actual state.
--- a/crates/model/tests/roster.rs
+++ b/crates/model/tests/roster.rs
@@ -11,6 +11,7 @@
         hop: addr,
         exchange: addr,
         link_mbps,
+        cpu_millis: 0,
     }
 }
 
--- a/crates/order/tests/orders/sim/mod.rs
+++ b/crates/order/tests/orders/sim/mod.rs
@@ -275,6 +275,7 @@
         hop: addr,
         exchange: addr,
         link_mbps: 0,
+        cpu_millis: 0,
     };
     let limits = Limits {
         slots: 4,
--- a/crates/state/src/intent.rs
+++ b/crates/state/src/intent.rs
@@ -304,6 +304,7 @@
                 hop: address(host.hop)?,
                 exchange: address(host.exchange)?,
                 link_mbps: 0,
+                cpu_millis: 0,
             });
         }
         Ok(list)
--- a/crates/state/tests/follow.rs
+++ b/crates/state/tests/follow.rs
@@ -116,6 +116,7 @@
             hop: addr,
             exchange: addr,
             link_mbps: 0,
+            cpu_millis: 0,
         }
     };
     (1..=6).map(host).collect()
--- a/crates/state/tests/monitor.rs
+++ b/crates/state/tests/monitor.rs
@@ -44,6 +44,7 @@
         hop: addr,
         exchange: addr,
         link_mbps: 0,
+        cpu_millis: 0,
     }
 }
 
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -207,6 +207,7 @@
             hop: addr(i, 8081),
             exchange: addr(i, 8082),
             link_mbps: 0,
+            cpu_millis: 0,
         })
         .collect()
 }
--- a/crates/wire/src/gen/relay.rs
+++ b/crates/wire/src/gen/relay.rs
@@ -42,6 +42,17 @@
     pub goal_us: u64,
     #[prost(uint64, tag = "11")]
     pub deadline_us: u64,
+    /// How replies may be merged; absent if each is needed whole.
+    #[prost(message, optional, tag = "12")]
+    pub merge: ::core::option::Option<Merge>,
+}
+/// How the records of replies are merged: the greatest ones are kept.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Merge {
+    #[prost(uint32, tag = "1")]
+    pub record_bytes: u32,
+    #[prost(uint64, tag = "2")]
+    pub top_k: u64,
 }
 /// One step of a handover: first the call, then an empty step to begin.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -77,6 +88,15 @@
     #[prost(enumeration = "Cause", tag = "5")]
     pub cause: i32,
 }
+/// Outcomes that are reported together.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Parts {
+    #[prost(message, repeated, tag = "1")]
+    pub parts: ::prost::alloc::vec::Vec<Part>,
+    /// The greatest records of all successful replies, whose bodies are then empty.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub records: ::core::option::Option<::prost::alloc::vec::Vec<u8>>,
+}
 /// What a follower wants to know: everything.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Interest {
@@ -237,11 +257,11 @@
         ///
         /// The answer begins when the call is taken; the receiver sends it once the
         /// caller has said so. A caller that gave up waiting may thus send it itself.
-        pub async fn forward(
+        pub async fn send(
             &mut self,
             request: impl tonic::IntoStreamingRequest<Message = super::Step>,
         ) -> std::result::Result<
-            tonic::Response<tonic::codec::Streaming<super::Part>>,
+            tonic::Response<tonic::codec::Streaming<super::Parts>>,
             tonic::Status,
         > {
             self.inner
@@ -254,11 +274,11 @@
                 })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
-                "/rattanmast.relay.Relay/Forward",
+                "/rattanmast.relay.Relay/Send",
             );
             let mut req = request.into_streaming_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("rattanmast.relay.Relay", "Forward"));
+                .insert(GrpcMethod::new("rattanmast.relay.Relay", "Send"));
             self.inner.streaming(req, path, codec).await
         }
         /// Returns all objects that the host knows, and then each change.
@@ -301,9 +321,9 @@
     /// Generated trait containing gRPC methods that should be implemented for use with RelayServer.
     #[async_trait]
     pub trait Relay: std::marker::Send + std::marker::Sync + 'static {
-        /// Server streaming response type for the Forward method.
-        type ForwardStream: tonic::codegen::tokio_stream::Stream<
-                Item = std::result::Result<super::Part, tonic::Status>,
+        /// Server streaming response type for the Send method.
+        type SendStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::Parts, tonic::Status>,
             >
             + std::marker::Send
             + 'static;
@@ -311,10 +331,10 @@
         ///
         /// The answer begins when the call is taken; the receiver sends it once the
         /// caller has said so. A caller that gave up waiting may thus send it itself.
-        async fn forward(
+        async fn send(
             &self,
             request: tonic::Request<tonic::Streaming<super::Step>>,
-        ) -> std::result::Result<tonic::Response<Self::ForwardStream>, tonic::Status>;
+        ) -> std::result::Result<tonic::Response<Self::SendStream>, tonic::Status>;
         /// Server streaming response type for the Follow method.
         type FollowStream: tonic::codegen::tokio_stream::Stream<
                 Item = std::result::Result<super::Update, tonic::Status>,
@@ -404,13 +424,13 @@
         }
         fn call(&mut self, req: http::Request<B>) -> Self::Future {
             match req.uri().path() {
-                "/rattanmast.relay.Relay/Forward" => {
+                "/rattanmast.relay.Relay/Send" => {
                     #[allow(non_camel_case_types)]
-                    struct ForwardSvc<T: Relay>(pub Arc<T>);
+                    struct SendSvc<T: Relay>(pub Arc<T>);
                     impl<T: Relay> tonic::server::StreamingService<super::Step>
-                    for ForwardSvc<T> {
-                        type Response = super::Part;
-                        type ResponseStream = T::ForwardStream;
+                    for SendSvc<T> {
+                        type Response = super::Parts;
+                        type ResponseStream = T::SendStream;
                         type Future = BoxFuture<
                             tonic::Response<Self::ResponseStream>,
                             tonic::Status,
@@ -421,7 +441,7 @@
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Relay>::forward(&inner, request).await
+                                <T as Relay>::send(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -432,7 +452,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = ForwardSvc(inner);
+                        let method = SendSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -12,7 +12,7 @@
 use rattanmast_model::{
     catalog::Service,
     feed::{Publisher, Subscriber, Update},
-    forward::{self, Call, Completion, Forward, Options},
+    forward::{self, Batch, Call, Forward, Options},
     hash::Map,
     host::{self, Host},
     peer::{self, Error},
@@ -41,7 +41,7 @@
 
 mod codec;
 
-use codec::{decode_call, decode_part, decode_update, encode_call, encode_part, encode_update};
+use codec::{decode_batch, decode_call, decode_update, encode_batch, encode_call, encode_update};
 use proto::{relay_client::RelayClient, relay_server};
 
 use crate::hop::call_error;
@@ -85,13 +85,13 @@
 
 #[tonic::async_trait]
 impl<F: Forward, P: Publisher> relay_server::Relay for Server<F, P> {
-    type ForwardStream = Responses<proto::Part>;
+    type SendStream = Responses<proto::Parts>;
     type FollowStream = Responses<proto::Update>;
 
-    async fn forward(
+    async fn send(
         &self,
         request: Request<Streaming<proto::Step>>,
-    ) -> Result<Response<Self::ForwardStream>, Status> {
+    ) -> Result<Response<Self::SendStream>, Status> {
         let mut steps = request.into_inner();
         let call = steps.message().await?.and_then(|step| step.call);
         let Some((services, call, options)) = call.and_then(decode_call) else {
@@ -115,11 +115,11 @@
                     () = sender.closed(), if options.idempotent => return,
                     next = parts.next() => next,
                 };
-                let Some((position, forwarded)) = next else {
+                let Some(batch) = next else {
                     return;
                 };
                 // A call that is not idempotent runs to its end even if the receiver is gone.
-                let _result = sender.send(Ok(encode_part(position, forwarded))).await;
+                let _result = sender.send(Ok(encode_batch(batch))).await;
             }
         });
         Ok(Response::new(Responses(receiver)))
@@ -246,19 +246,21 @@
 /// The stream of results that another host returns for a call.
 pub struct Parts {
     host: host::Name,
-    stream: Streaming<proto::Part>,
+    stream: Streaming<proto::Parts>,
     /// Keeps the request stream open while the result is wanted.
     _steps: mpsc::Sender<proto::Step>,
 }
 
 impl Stream for Parts {
-    type Item = peer::Result<(usize, Completion)>;
+    type Item = peer::Result<Batch>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let next = self.stream.poll_next_unpin(cx);
         next.map(|next| {
-            next.map(|part| match part {
-                Ok(part) => decode_part(part).ok_or_else(|| broken(&self.host, "unreadable part")),
+            next.map(|parts| match parts {
+                Ok(parts) => {
+                    decode_batch(parts).ok_or_else(|| broken(&self.host, "unreadable parts"))
+                }
                 Err(status) => Err(call_error(&self.host, &status)),
             })
         })
@@ -282,7 +284,7 @@
         };
         let not_sent = |_| Error::Connect { host: host.clone() };
         steps.send(handover).await.map_err(not_sent)?;
-        let accepted = client.forward(Steps(receiver)).await;
+        let accepted = client.send(Steps(receiver)).await;
         let not_sent = |status: Status| {
             log::debug!("call {} was not accepted: {status}", call.id);
             Error::Connect { host: host.clone() }
--- a/crates/wire/src/relay/codec.rs
+++ b/crates/wire/src/relay/codec.rs
@@ -9,7 +9,7 @@
 use rattanmast_model::{
     catalog::Service,
     feed::{Object, Update},
-    forward::{self, Call, Completion, Options, Reply},
+    forward::{self, Batch, Call, Completion, Merge, Options, Reply},
     peer::Cause,
     rank::Rank,
 };
@@ -60,6 +60,7 @@
         attempts: options.max_attempts,
         goal_us: micros_until(options.goal),
         deadline_us: micros_until(options.deadline),
+        merge: options.merge.map(encode_merge),
     }
 }
 
@@ -87,10 +88,31 @@
         max_attempts: message.attempts,
         goal: now.checked_add(Duration::from_micros(message.goal_us))?,
         deadline: now.checked_add(Duration::from_micros(message.deadline_us))?,
+        merge: match message.merge {
+            Some(merge) => Some(decode_merge(merge)?),
+            None => None,
+        },
     };
     Some((services, call, options))
 }
 
+fn encode_merge(merge: Merge) -> proto::Merge {
+    proto::Merge {
+        // A record is far smaller than 4 GB.
+        record_bytes: u32::try_from(merge.record_bytes).unwrap_or(u32::MAX),
+        top_k: merge.top_k as u64,
+    }
+}
+
+fn decode_merge(merge: proto::Merge) -> Option<Merge> {
+    Some(Merge {
+        record_bytes: usize::try_from(merge.record_bytes)
+            .ok()
+            .filter(|b| *b > 0)?,
+        top_k: usize::try_from(merge.top_k).ok()?,
+    })
+}
+
 fn encode_reply(reply: Reply) -> proto::Reply {
     proto::Reply {
         status: reply.status.as_u16().into(),
@@ -110,7 +132,7 @@
     })
 }
 
-pub(super) fn encode_part(position: usize, forwarded: Completion) -> proto::Part {
+fn encode_part(position: usize, forwarded: Completion) -> proto::Part {
     let (cause, reply) = match forwarded.result {
         Ok(reply) => (proto::Cause::None, Some(reply)),
         Err(forward::Error { cause, reply }) => {
@@ -134,7 +156,7 @@
     }
 }
 
-pub(super) fn decode_part(part: proto::Part) -> Option<(usize, Completion)> {
+fn decode_part(part: proto::Part) -> Option<(usize, Completion)> {
     let cause = part.cause();
     let reply = part.reply.map(decode_reply);
     let missed = |cause| forward::Error {
@@ -155,6 +177,25 @@
     Some((usize::try_from(part.service).ok()?, forwarded))
 }
 
+pub(super) fn encode_batch(batch: Batch) -> proto::Parts {
+    let parts = batch.outcomes.into_iter();
+    proto::Parts {
+        parts: parts
+            .map(|(position, part)| encode_part(position, part))
+            .collect(),
+        records: batch.records.map(Vec::from),
+    }
+}
+
+/// Decodes outcomes; `None` if another release sent a form that this one does not support.
+pub(super) fn decode_batch(message: proto::Parts) -> Option<Batch> {
+    let outcomes = message.parts.into_iter().map(decode_part);
+    Some(Batch {
+        outcomes: outcomes.collect::<Option<_>>()?,
+        records: message.records.map(Into::into),
+    })
+}
+
 pub(super) fn encode_update(update: Update) -> proto::Update {
     let objects = |objects: Vec<Object>| {
         let object = |object: Object| proto::Object {
