Probe the store instead of reading it, and hedge no earlier than a reply

Changes: a host that is no reader asks the store for the list of hosts, with a backoff of up to 2 s, and reads the rest only once that is answered. A hedge waits at least the usual time of a reply.

--- a/crates/dispatch/src/forward.rs
+++ b/crates/dispatch/src/forward.rs
@@ -217,7 +217,8 @@
 
     /// Returns when to hedge, if exactly one attempt is in flight and another may run.
     ///
-    /// The hedge is sent early enough for another leaf to reply before the latency goal.
+    /// The hedge is sent early enough for another leaf to reply before the latency goal, but not
+    /// before the first one has had the time that its replies usually take.
     fn hedge_at(&self, now: Instant) -> Option<Instant> {
         let [Some(first), None] = &self.attempts else {
             return None;
@@ -229,9 +230,10 @@
         let state = self.service.lock();
         let quantile = state.hedge.quantile(rank, SINGLE_PART)?;
         let processing_times = self.service.processing_times();
-        let slow_after = processing_times.quantile(rank, quantile)?
-            + state.replicas[first.replica].round_trip.unwrap_or_default();
+        let first_round_trip = state.replicas[first.replica].round_trip.unwrap_or_default();
+        let slow_after = processing_times.quantile(rank, quantile)? + first_round_trip;
         let usual_time = processing_times.quantile(rank, Quantile::P50)?;
+        let earliest = first.sent_at + usual_time + first_round_trip;
         let others = (0..state.replicas.len()).filter(|i| *i != first.replica);
         let round_trip = others.filter_map(|i| state.replicas[i].round_trip).min();
         let latest = self
@@ -239,7 +241,7 @@
             .goal
             .checked_sub(usual_time + round_trip.unwrap_or_default())?;
         let at = match first.sent_at + slow_after {
-            at if latest > first.sent_at => at.min(latest),
+            at if latest > first.sent_at => at.min(latest.max(earliest)),
             at => at,
         };
         // After a hedge that was not possible, the next one is due after a short delay.
--- a/crates/state/src/follow.rs
+++ b/crates/state/src/follow.rs
@@ -6,6 +6,7 @@
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use futures::StreamExt as _;
+use rand::Rng as _;
 use rattanmast_model::{
     feed::{Publisher as _, Subscriber, Update},
     hash::Map,
@@ -35,12 +36,21 @@
 /// Delay between attempts to reach the readers during startup.
 const STARTUP_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Delay after the first probe of the platform that failed.
+const INITIAL_PROBE_BACKOFF: Duration = Duration::from_millis(250);
+
+/// Upper bound of the delay between probes of the platform.
+const MAX_PROBE_BACKOFF: Duration = Duration::from_secs(2);
+
+/// Time for a list of hosts to take effect, after which another source may be preferred.
+const ROSTER_APPLY_TIME: Duration = Duration::from_millis(100);
+
 /// Direct access to the platform.
 pub trait PlatformReader: Clone + Send + Sync + 'static {
     /// Reads the platform and sends updates to `sink` until the future is dropped.
     fn read(&self, sink: mpsc::Sender<Update>) -> impl Future<Output = ()> + Send;
 
-    /// Reads only the list of hosts; returns `None` if the platform does not answer.
+    /// Reads only the list of hosts, which is cheap; returns `None` if the platform does not answer.
     fn hosts(&self) -> impl Future<Output = Option<Update>> + Send;
 }
 
@@ -111,6 +121,14 @@
         self.choose_source(&Map::default()) != Source::Platform
     }
 
+    /// Returns whether this host is a reader of its failure domain.
+    fn is_reader(&self) -> bool {
+        let hosts = self.roster.borrow();
+        let readers = roster::readers(&hosts, &self.domain);
+        // Before the roster is loaded, it contains this host at most.
+        hosts.len() > 1 && readers.iter().any(|reader| reader.name == self.own_name)
+    }
+
     /// Reads the list of hosts, so that only readers read other objects from the platform.
     ///
     /// Hosts that start together register at about the same time, so a host that finds no other
@@ -157,8 +175,15 @@
         has_data: bool,
     ) -> bool {
         let (sender, mut updates) = mpsc::channel(8);
-        let direct = self.direct.clone();
-        let mut reading = std::pin::pin!(direct.read(sender));
+        let (direct, must_probe) = (self.direct.clone(), !self.is_reader());
+        let mut reading = std::pin::pin!(async {
+            // During an outage of the platform, and after it, only the readers read it; the others
+            // ask now and then whether it answers them.
+            if must_probe {
+                probe(&direct, &sender).await;
+            }
+            direct.read(sender).await;
+        });
         let mut has_data = has_data;
         let mut seeds = self.seeds.clone().into_iter().cycle();
         let mut next_query = Instant::now() + SEED_QUERY_INTERVAL;
@@ -270,6 +295,25 @@
     }
 }
 
+/// Reads the list of hosts until the platform answers, and reports whether it does.
+async fn probe<D: PlatformReader>(direct: &D, sink: &mpsc::Sender<Update>) {
+    let mut backoff = INITIAL_PROBE_BACKOFF;
+    let hosts = loop {
+        if let Some(hosts) = direct.hosts().await {
+            break hosts;
+        }
+        if backoff == INITIAL_PROBE_BACKOFF {
+            // The receiver is gone only if this future is dropped too.
+            let _closed = sink.send(Update::PlatformReachable(false)).await;
+        }
+        let jitter = rand::rng().random_range(0.5..1.0);
+        time::sleep(backoff.mul_f64(jitter)).await;
+        backoff = (backoff * 2).min(MAX_PROBE_BACKOFF);
+    };
+    let _closed = sink.send(hosts).await;
+    time::sleep(ROSTER_APPLY_TIME).await;
+}
+
 async fn sleep_until_some(at: Option<Instant>) {
     match at {
         Some(at) => time::sleep_until(at).await,
