--- a/crates/dispatch/tests/forward.rs
+++ b/crates/dispatch/tests/forward.rs
@@ -254,6 +254,26 @@
     assert_eq!(fleet.reached().len(), 1);
 }
 
+/// Guards against senders that send every part of a query twice, because so little time is left to
+/// its goal that a hedge would have to be sent before the first reply is due.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_starts_late_is_not_hedged_before_its_reply_is_due() {
+    let fleet = Fleet::default();
+    let usual = Behavior::Reply(20, 200);
+    let dispatcher = fleet.dispatcher(&[usual, usual]).await;
+    for _ in 0..50 {
+        assert!(send(&dispatcher, true).await.result.is_ok());
+    }
+    fleet.reached();
+    let late = Options {
+        goal: Instant::now() + Duration::from_millis(25),
+        ..options(true)
+    };
+    let forwarded = dispatcher.forward(&service(), call(), late).await;
+    assert!(forwarded.result.is_ok());
+    assert_eq!(fleet.reached().len(), 1);
+}
+
 /// Guards against callers that see the failure of one leaf although another leaf works.
 #[tokio::test(start_paused = true)]
 async fn a_repeatable_call_goes_to_another_leaf_after_a_failure() {
