Group services under one lock, and mend what the last read stumbled on

Found when the whole change was read again; behaviour is meant to stay: - A wide query pruned the suspicions and copied the names of the candidates once per service, twice over (admission and grouping), on the host that answers.

--- a/crates/dispatch/src/assignment.rs
+++ b/crates/dispatch/src/assignment.rs
@@ -31,7 +31,7 @@
 
 /// The positions of this host among the candidates of each service.
 ///
-/// They depend on the roster alone and are cached until it changes.
+/// They are cached until the roster or the number of services changes.
 #[derive(Debug, Default)]
 pub(crate) struct Assignment {
     config: Option<Arc<Config>>,
@@ -176,15 +176,11 @@
                 warm: WARM_CONNECTIONS_OF_SENDER,
                 hedges: divide_budget(hedges, domains),
             },
-            Some(1) => Self {
-                share: (share / 2).max(STANDBY_CONNECTIONS),
+            // Each stand-in has half of what the candidate before it has.
+            Some(position @ 1..=2) => Self {
+                share: (share >> position).max(STANDBY_CONNECTIONS),
                 warm: 0,
-                hedges: unearned(domains.saturating_mul(2)),
-            },
-            Some(2) => Self {
-                share: (share / 4).max(STANDBY_CONNECTIONS),
-                warm: 0,
-                hedges: unearned(domains.saturating_mul(4)),
+                hedges: unearned(domains.saturating_mul(1 << position)),
             },
             _ => Self {
                 share: STANDBY_CONNECTIONS,
--- a/crates/gather/src/domain.rs
+++ b/crates/gather/src/domain.rs
@@ -46,6 +46,9 @@
 /// entry is sent to directly.
 type Candidates = Map<Service, Arc<[host::Name]>>;
 
+/// The suspected hosts, each with the end of its suspicion.
+type Suspicions = Map<host::Name, Instant>;
+
 /// Sends calls through the hosts of this host's failure domain that are the senders of the
 /// services.
 ///
@@ -62,7 +65,7 @@
 struct Shared {
     candidates: RwLock<Arc<Candidates>>,
     applied: Mutex<Applied>,
-    suspected_until: Mutex<Map<host::Name, Instant>>,
+    suspected_until: Mutex<Suspicions>,
     /// The number of calls in a row that another host accepted before this one.
     slow_handovers: Mutex<Map<host::Name, u32>>,
 }
@@ -119,10 +122,8 @@
             collections: config.collections.clone(),
         };
         let candidates = Arc::new(self.derive_candidates(config));
-        let mut current = self.shared.candidates.write();
-        **current
-            .as_mut()
-            .unwrap_or_else(|poisoned| poisoned.get_mut()) = candidates;
+        let current = self.shared.candidates.write();
+        *current.unwrap_or_else(PoisonError::into_inner) = candidates;
     }
 
     fn derive_candidates(&self, config: &Config) -> Candidates {
@@ -156,14 +157,39 @@
 
     /// Returns the hosts that are to send to `service`, the preferred one first; none if this host
     /// is to send itself.
-    fn senders(&self, candidates: &Candidates, service: &Service, now: Instant) -> Vec<host::Name> {
-        let Some(candidates) = candidates.get(service) else {
-            return Vec::new();
-        };
+    fn senders<'c>(
+        &self,
+        candidates: &'c Candidates,
+        service: &Service,
+        suspected: &Suspicions,
+    ) -> impl Iterator<Item = &'c host::Name> {
+        let candidates = candidates.get(service).map_or(&[][..], |hosts| &hosts[..]);
+        let usable = candidates.iter().filter(|c| !suspected.contains_key(*c));
+        usable.take_while(|c| **c != self.me)
+    }
+
+    /// Locks the suspicions that have not ended.
+    fn suspicions(&self) -> MutexGuard<'_, Suspicions> {
+        let now = Instant::now();
         let mut suspected = lock(&self.shared.suspected_until);
         suspected.retain(|_, until| now < *until);
-        let usable = candidates.iter().filter(|c| !suspected.contains_key(*c));
-        usable.take_while(|c| **c != self.me).cloned().collect()
+        suspected
+    }
+
+    /// Groups `services` by the host that is preferred to send to them.
+    fn group(&self, services: &[Service]) -> Vec<Group> {
+        let candidates = self.candidates();
+        let suspected = self.suspicions();
+        let mut groups: Map<Option<&host::Name>, Group> = Map::default();
+        for (position, service) in services.iter().enumerate() {
+            let senders = || self.senders(&candidates, service, &suspected);
+            let group = groups.entry(senders().next()).or_insert_with(|| Group {
+                hosts: senders().cloned().collect(),
+                positions: Vec::new(),
+            });
+            group.positions.push(position);
+        }
+        groups.into_values().collect()
     }
 
     fn suspect(&self, host: &host::Name, call: &Call, why: &str) {
@@ -378,16 +404,7 @@
         call: &'a Arc<Call>,
         options: Options,
     ) -> impl Stream<Item = Batch> + Send + Unpin + 'a {
-        let (candidates, now) = (self.candidates(), Instant::now());
-        let mut groups: Map<Option<host::Name>, Group> = Map::default();
-        for (position, service) in services.iter().enumerate() {
-            let hosts = self.senders(&candidates, service, now);
-            let group = groups.entry(hosts.first().cloned()).or_insert(Group {
-                hosts,
-                positions: Vec::new(),
-            });
-            group.positions.push(position);
-        }
+        let groups = self.group(services);
         let (batches_tx, mut batches) = mpsc::unbounded_channel();
         let forwarding = Forwarding {
             services,
@@ -395,7 +412,7 @@
             options,
         };
         let mut sends: FuturesUnordered<_> = groups
-            .into_values()
+            .into_iter()
             .map(|group| Box::pin(self.send(group, forwarding, batches_tx.clone())))
             .collect();
         drop(batches_tx);
@@ -406,10 +423,13 @@
     }
 
     fn admits(&self, service: &Service, options: &Options) -> Result<(), Cause> {
-        let senders = self.senders(&self.candidates(), service, Instant::now());
-        match senders.is_empty() {
-            false => Ok(()),
-            true => self.local.admits(service, options),
+        let candidates = self.candidates();
+        let sender = self
+            .senders(&candidates, service, &self.suspicions())
+            .next();
+        match sender {
+            Some(_) => Ok(()),
+            None => self.local.admits(service, options),
         }
     }
 }
--- a/crates/state/src/follow.rs
+++ b/crates/state/src/follow.rs
@@ -116,12 +116,14 @@
         }
     }
 
-    /// Returns whether this host is not a reader of its failure domain.
+    /// Returns whether this host prefers to follow another host, as all but the first reader of its
+    /// failure domain do.
     fn is_follower(&self) -> bool {
         self.choose_source(&Map::default()) != Source::Platform
     }
 
-    /// Returns whether this host is a reader of its failure domain.
+    /// Returns whether this host is a reader of its failure domain, the first one or one that
+    /// replaces it.
     fn is_reader(&self) -> bool {
         let hosts = self.roster.borrow();
         let readers = roster::readers(&hosts, &self.domain);
