Move the reading of the platform's objects to the state crate

No behaviour changes: constants, order of calls and log lines are the same. Tests of model, state, wire and entry pass as before.

--- a/crates/model/src/feed.rs
+++ b/crates/model/src/feed.rs
@@ -1,13 +1,35 @@
 //! Change notifications for platform objects, which hosts relay to each other.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use futures::Stream;
 use smol_str::SmolStr;
+use snafu::Snafu;
 
 use crate::peer;
 
+/// The result of a read of the platform's objects.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why the platform's objects could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// The platform did not answer or refused.
+    #[snafu(display("{why}"))]
+    Unavailable {
+        /// What failed, and the remedy.
+        why: String,
+    },
+    /// The changes since the given revision are no longer available.
+    #[snafu(display("platform has compacted its history; listing all objects again"))]
+    Compacted,
+}
+
+/// The revision of the platform's objects of all kinds; it increases with each change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
 /// A platform object; its content is opaque to the code that relays it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Object {
@@ -17,6 +39,24 @@
     pub content: Bytes,
 }
 
+/// A change of an object at the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The object was created or modified.
+    Put(Object),
+    /// The object with this name was deleted.
+    Delete(SmolStr),
+}
+
+/// Objects of one kind that were read together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch<T> {
+    /// The objects, or their changes.
+    pub items: Vec<T>,
+    /// The revision that the items are complete up to.
+    pub revision: Revision,
+}
+
 /// A notification about the platform's objects.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Update {
@@ -41,14 +81,15 @@
 }
 
 impl Update {
-    /// Builds an update from successive `changes` to objects of `kind`; `None` is a deletion.
+    /// Builds an update from successive `changes` to objects of `kind`.
     ///
     /// Only the last change of each object is kept, because an update has no order.
-    pub fn changes(
-        kind: SmolStr,
-        changes: impl IntoIterator<Item = (SmolStr, Option<Bytes>)>,
-    ) -> Self {
-        let latest: BTreeMap<SmolStr, Option<Bytes>> = changes.into_iter().collect();
+    pub fn changes(kind: SmolStr, changes: impl IntoIterator<Item = Change>) -> Self {
+        let change = |change| match change {
+            Change::Put(object) => (object.name, Some(object.content)),
+            Change::Delete(name) => (name, None),
+        };
+        let latest: BTreeMap<SmolStr, Option<Bytes>> = changes.into_iter().map(change).collect();
         let (mut put, mut deleted) = (Vec::new(), Vec::new());
         for (name, content) in latest {
             match content {
@@ -60,6 +101,40 @@
     }
 }
 
+/// The platform's store, which the objects come from.
+pub trait Origin: Clone + Send + Sync + 'static {
+    /// The kind of the configuration.
+    const CONFIG: &'static str;
+    /// The kind of the leafs' entries.
+    const LEAFS: &'static str;
+    /// The kind of the hosts' entries.
+    const HOSTS: &'static str;
+
+    /// Returns all objects of a kind; `allow_stale` permits a cheaper read of older data.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unavailable`] if the platform does not answer in time.
+    fn list(
+        &self,
+        kind: &'static str,
+        allow_stale: bool,
+    ) -> impl Future<Output = Result<Batch<Object>>> + Send;
+
+    /// Returns the changes of a kind after `since`, as soon as there are any or after `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Compacted`] if the platform no longer has these changes, and
+    /// [`Error::Unavailable`] if it does not answer in time.
+    fn watch(
+        &self,
+        kind: &'static str,
+        since: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Batch<Change>>> + Send;
+}
+
 /// A client that subscribes to the object feeds of other hosts.
 pub trait Subscriber: Clone + Send + Sync + 'static {
     /// The stream of updates from a host.
--- a/crates/model/tests/feed.rs
+++ b/crates/model/tests/feed.rs
@@ -1,7 +1,7 @@
 //! Updates about platform objects.
 
 use bytes::Bytes;
-use rattanmast_model::feed::{Object, Update};
+use rattanmast_model::feed::{Change, Object, Update};
 
 /// Guards against losing a leaf whose entry is deleted and created again within one update.
 #[test]
@@ -15,7 +15,13 @@
         ("gone", content("old")),
         ("gone", None),
     ];
-    let changes = changes.map(|(name, content)| (name.into(), content));
+    let changes = changes.map(|(name, content)| match content {
+        Some(content) => Change::Put(Object {
+            name: name.into(),
+            content,
+        }),
+        None => Change::Delete(name.into()),
+    });
     let object = |name: &str, content: &'static str| Object {
         name: name.into(),
         content: content.into(),
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod plan;
 pub mod proof;
+pub mod reader;
 pub mod record;
 pub mod settings;
 mod state;
--- a/platform/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -1,19 +1,15 @@
-//! Follows the platform's objects by listing and watching its store.
+//! Reads the platform's objects by listing and watching them.
 
 use std::{sync::Arc, time::Duration};
 
 use rand::Rng as _;
-use rattanmast_model::feed::Update;
-use rattanmast_state::follow::PlatformReader;
+use rattanmast_model::feed::{Origin, Result, Revision, Update};
 use tokio::{
     sync::{Mutex, mpsc},
     time::{self, Instant},
 };
 
-use crate::{
-    objects,
-    store::{Change, Client, Error, Revision},
-};
+use crate::follow::PlatformReader;
 
 /// How long one watch waits for changes. A dead connection that goes undetected costs this time.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
@@ -33,14 +29,14 @@
 /// Number of initial reads, which use the shorter interval.
 const INITIAL_HOSTS_READS: u32 = 3;
 
-/// Reads objects directly from the store.
+/// Reads objects directly from the platform.
 #[derive(Clone, Debug)]
-pub struct Reader {
-    /// The store.
-    pub client: Client,
+pub struct Reader<O> {
+    /// The platform's store.
+    pub origin: O,
 }
 
-/// Destination of updates, with the last reported availability of the store.
+/// Destination of updates, with the last reported availability of the platform.
 struct Sink {
     updates: mpsc::Sender<Update>,
     reported: Mutex<Option<bool>>,
@@ -52,7 +48,7 @@
         let _closed = self.updates.send(update).await;
     }
 
-    /// Reports whether the store answers, if that has changed.
+    /// Reports whether the platform answers, if that has changed.
     async fn report_availability(&self, available: bool) {
         let mut reported = self.reported.lock().await;
         if *reported != Some(available) {
@@ -62,15 +58,15 @@
     }
 }
 
-impl PlatformReader for Reader {
+impl<O: Origin> PlatformReader for Reader<O> {
     async fn read(&self, sink: mpsc::Sender<Update>) {
         let sink = Arc::new(Sink {
             updates: sink,
             reported: Mutex::new(None),
         });
         tokio::join!(
-            self.watch(objects::CONFIG_KIND, &sink),
-            self.watch(objects::LEAF_KIND, &sink),
+            self.watch(O::CONFIG, CONFIG_BATCH_DELAY, &sink),
+            self.watch(O::LEAFS, LEAF_BATCH_DELAY, &sink),
             self.poll_hosts(&sink),
         );
     }
@@ -80,15 +76,15 @@
     }
 }
 
-impl Reader {
-    /// Lists all objects of `kind`, then watches for changes.
-    async fn watch(&self, kind: &'static str, sink: &Sink) {
+impl<O: Origin> Reader<O> {
+    /// Lists all objects of `kind`, then watches for changes, with `delay` between two watches.
+    async fn watch(&self, kind: &'static str, delay: Duration, sink: &Sink) {
         let mut revision = None;
         let mut backoff = INITIAL_BACKOFF;
         let mut answered = Instant::now();
         loop {
             let started = Instant::now();
-            match self.next_update(kind, &mut revision).await {
+            match self.next_update(kind, delay, &mut revision).await {
                 Ok(update) => {
                     backoff = INITIAL_BACKOFF;
                     answered = Instant::now();
@@ -121,26 +117,20 @@
     async fn next_update(
         &self,
         kind: &'static str,
+        delay: Duration,
         revision: &mut Option<Revision>,
-    ) -> Result<Update, Error> {
+    ) -> Result<Update> {
         let (update, read_at) = match *revision {
             None => {
-                let (objects, read_at) = self.client.list(kind, false).await?;
-                let objects = objects.into_iter().map(|o| objects::normalized(kind, o));
-                let (kind, objects) = (kind.into(), objects.collect());
-                (Update::All { kind, objects }, read_at)
+                let listed = self.origin.list(kind, false).await?;
+                let (kind, objects) = (kind.into(), listed.items);
+                (Update::All { kind, objects }, listed.revision)
             }
             Some(since) => {
-                time::sleep(batch_delay(kind)).await;
-                let (changes, read_at) = self.client.watch(kind, since, WATCH_TIMEOUT).await?;
-                let changes = changes.into_iter().map(|change| match change {
-                    Change::Put(object) => {
-                        let object = objects::normalized(kind, object);
-                        (object.name, Some(object.content))
-                    }
-                    Change::Delete(name) => (name, None),
-                });
-                (Update::changes(kind.into(), changes), read_at)
+                time::sleep(delay).await;
+                let changed = self.origin.watch(kind, since, WATCH_TIMEOUT).await?;
+                let update = Update::changes(kind.into(), changed.items);
+                (update, changed.revision)
             }
         };
         *revision = Some(read_at);
@@ -163,11 +153,10 @@
     }
 
     async fn list_hosts(&self, allow_stale: bool) -> Option<Update> {
-        let listed = self.client.list(objects::HOST_KIND, allow_stale).await;
-        match listed {
-            Ok((objects, _)) => Some(Update::All {
-                kind: objects::HOST_KIND.into(),
-                objects,
+        match self.origin.list(O::HOSTS, allow_stale).await {
+            Ok(listed) => Some(Update::All {
+                kind: O::HOSTS.into(),
+                objects: listed.items,
             }),
             Err(error) => {
                 log::info!("event=hosts_not_read why=\"{error}\"");
@@ -176,10 +165,3 @@
         }
     }
 }
-
-fn batch_delay(kind: &str) -> Duration {
-    match kind {
-        objects::LEAF_KIND => LEAF_BATCH_DELAY,
-        _ => CONFIG_BATCH_DELAY,
-    }
-}
