Reproduce hosts that stay behind while their reader is cut off

Two tests on the paused clock that fail on the current code: hosts that run the real follower and reader over an in-memory store, whose links are cut one way or fall silent. Each host whose own link to the store has worked for 5 s has to have each change within 3 s of its confirmation.

--- /dev/null
+++ b/crates/state/tests/cuts/main.rs
@@ -0,0 +1,123 @@
+//! Changes at the platform reach all hosts in time while some of them are cut off from it.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod fleet;
+mod origin;
+
+use std::time::Duration;
+
+use fleet::Fleet;
+use origin::{Access, Cut};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
+use rattanmast_model::feed::Origin as _;
+use tokio::time::{Instant, sleep};
+
+/// Failure domains of a fleet, and hosts of each.
+const DOMAINS: usize = 2;
+const HOSTS: usize = 5;
+
+/// Time of a run under random faults.
+const RUN_TIME: Duration = Duration::from_secs(60);
+
+/// Seeds of the runs under random faults.
+const SEEDS: std::ops::Range<u64> = 0..20;
+
+/// Cuts the first `cut` readers of a domain off from the store, and returns what is late at the
+/// other hosts.
+async fn cut_readers(count: usize, cut: Cut) -> Vec<String> {
+    let fleet = Fleet::start(1, HOSTS);
+    sleep(Duration::from_secs(10)).await;
+    let readers = fleet.readers("d0");
+    readers[..count].iter().for_each(|r| r.store.set(cut));
+    sleep(Duration::from_millis(200)).await;
+    fleet.store.advance(Access::CONFIG);
+    fleet.store.advance(Access::LEAFS);
+    fleet.watch_for_late_changes(Duration::from_secs(6)).await
+}
+
+/// Guards against hosts that stay on an old version because the host that they follow was cut off
+/// from the platform and does not know it.
+#[tokio::test(start_paused = true)]
+async fn followers_of_a_reader_that_is_cut_off_have_changes_in_time() {
+    for cut in [Cut::ToStore, Cut::FromStore, Cut::Silent] {
+        for count in 1..=3 {
+            let late = cut_readers(count, cut).await;
+            assert!(late.is_empty(), "{count} {cut:?}: {}", late.join("\n"));
+        }
+    }
+}
+
+/// Runs a fleet under the faults of a seed; returns what was late and what went back.
+async fn run(seed: u64) -> (Vec<String>, Vec<String>) {
+    let fleet = Fleet::start(DOMAINS, HOSTS);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let changes = tokio::spawn(change(fleet.clone(), SmallRng::seed_from_u64(!seed)));
+    let (faulty, end) = (fleet.clone(), Instant::now() + RUN_TIME);
+    let faults = tokio::spawn(async move {
+        while Instant::now() < end {
+            sleep(Duration::from_millis(rng.random_range(300..4_000))).await;
+            let seed = rng.random();
+            tokio::spawn(disturb(faulty.clone(), SmallRng::seed_from_u64(seed)));
+        }
+    });
+    let late = fleet.watch_for_late_changes(RUN_TIME).await;
+    changes.abort();
+    faults.abort();
+    (late, fleet.reversions())
+}
+
+/// Changes objects in storms and at longer intervals.
+async fn change(fleet: Fleet, mut rng: SmallRng) {
+    loop {
+        let (kinds, gap_ms) = (
+            [Access::CONFIG, Access::LEAFS],
+            rng.random_range(100..1_500),
+        );
+        for _ in 0..rng.random_range(1..8) {
+            fleet.store.advance(kinds.choose(&mut rng).unwrap());
+            sleep(Duration::from_millis(gap_ms)).await;
+        }
+        sleep(Duration::from_millis(rng.random_range(0..8_000))).await;
+    }
+}
+
+/// Injects one fault and reverts it.
+async fn disturb(fleet: Fleet, mut rng: SmallRng) {
+    let all: Vec<usize> = (0..fleet.members.len()).collect();
+    let count = rng.random_range(1..=HOSTS);
+    let some: Vec<usize> = all.choose_multiple(&mut rng, count).copied().collect();
+    let cuts = [Cut::ToStore, Cut::FromStore, Cut::Silent];
+    let cut = *cuts.choose(&mut rng).unwrap();
+    let time = Duration::from_millis(rng.random_range(500..7_000));
+    match rng.random_range(0..8) {
+        0 => fleet.store.compact(),
+        1 => fleet.cut_store(&all, cut, time).await,
+        2 | 3 => {
+            let cut_off = |is_cut| {
+                for m in &some {
+                    fleet.members[*m].cut_off.send_replace(is_cut);
+                }
+            };
+            cut_off(true);
+            sleep(time).await;
+            cut_off(false);
+        }
+        _ => fleet.cut_store(&some, cut, time).await,
+    }
+}
+
+/// Guards against bounds that are each sound and add up past the time within which changes must be
+/// in force, when hosts are cut off from the platform and from each other.
+#[tokio::test(start_paused = true)]
+async fn changes_are_in_force_in_time_under_random_cuts() {
+    let mut failures = Vec::new();
+    for seed in SEEDS {
+        let (late, _) = run(seed).await;
+        if let Some(first) = late.first() {
+            let count = late.len();
+            failures.push(format!("seed {seed}: {count} times, first at {first}"));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
--- /dev/null
+++ b/crates/state/tests/cuts/origin.rs
@@ -0,0 +1,226 @@
+//! A store of numbered objects, and the links over which hosts reach it.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rattanmast_model::feed::{Batch, Change, Error, Object, Origin, Result, Revision};
+use smol_str::SmolStr;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
+
+/// Latency between a host and the store, one way.
+const LATENCY: Duration = Duration::from_millis(12);
+/// Time after which TCP keepalive ends a connection over a link that is cut.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of a call, beyond the time for which a watch waits.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a link does to the calls of a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Cut {
+    #[default]
+    None,
+    /// Requests are held up.
+    ToStore,
+    /// Answers are held up.
+    FromStore,
+    /// The store accepts requests and does not answer them.
+    Silent,
+}
+
+/// The link of one host, which may be cut.
+#[derive(Clone)]
+pub struct Link {
+    cut: watch::Sender<Cut>,
+    /// When the link was last cut or healed.
+    disturbed: Arc<Mutex<Instant>>,
+}
+
+impl Link {
+    pub fn new() -> Self {
+        Self {
+            cut: watch::Sender::new(Cut::None),
+            disturbed: Arc::new(Mutex::new(Instant::now())),
+        }
+    }
+
+    pub fn set(&self, cut: Cut) {
+        *self.disturbed.lock().unwrap() = Instant::now();
+        self.cut.send_replace(cut);
+    }
+
+    /// Returns whether the link has worked for at least `time`.
+    pub fn has_worked_for(&self, time: Duration) -> bool {
+        *self.cut.borrow() == Cut::None && self.disturbed.lock().unwrap().elapsed() >= time
+    }
+
+    /// Carries one message, which `blocked` holds up.
+    async fn carry(&self, blocked: Cut) -> Result<()> {
+        sleep(LATENCY).await;
+        if *self.cut.borrow() == Cut::Silent {
+            std::future::pending::<()>().await;
+        }
+        let mut cut = self.cut.subscribe();
+        let healed = timeout(KEEPALIVE_TIMEOUT, cut.wait_for(|cut| *cut != blocked));
+        healed.await.map(|_| ()).map_err(|_| Error::Unavailable {
+            why: "the connection ended".to_owned(),
+        })
+    }
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    /// The newest number of each kind with the time of its confirmation, oldest first.
+    numbers: Vec<(&'static str, u64, Instant)>,
+    /// The changes that watches can still read.
+    history: Vec<(u64, &'static str, u64)>,
+    compacted: u64,
+}
+
+/// The store, with one object of each kind whose content is a number that increases.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Store {
+    pub fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Writes the next number of a kind.
+    pub fn advance(&self, kind: &'static str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let (revision, next) = (state.revision, newest(&state, kind, Instant::now()) + 1);
+        state.numbers.push((kind, next, Instant::now()));
+        state.history.push((revision, kind, next));
+        self.changed.send_replace(revision);
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.compacted = state.revision;
+        state.history.clear();
+    }
+
+    /// Returns the number of a kind that was the newest one at a given time.
+    pub fn newest_at(&self, kind: &'static str, at: Instant) -> u64 {
+        newest(&self.state.lock().unwrap(), kind, at)
+    }
+
+    fn list(&self, kind: &'static str) -> Batch<Object> {
+        let state = self.state.lock().unwrap();
+        Batch {
+            items: vec![object(newest(&state, kind, Instant::now()))],
+            revision: Revision(state.revision),
+        }
+    }
+
+    fn changes(&self, kind: &'static str, since: Revision) -> Result<Batch<Change>> {
+        let state = self.state.lock().unwrap();
+        if since.0 < state.compacted {
+            return Err(Error::Compacted);
+        }
+        let later = state.history.iter();
+        let later = later.filter(|(revision, k, _)| *revision > since.0 && *k == kind);
+        Ok(Batch {
+            items: later
+                .map(|(.., number)| Change::Put(object(*number)))
+                .collect(),
+            revision: Revision(state.revision),
+        })
+    }
+}
+
+fn newest(state: &State, kind: &'static str, at: Instant) -> u64 {
+    let written = state.numbers.iter();
+    let written = written.filter(|(k, _, confirmed)| *k == kind && *confirmed <= at);
+    written.map(|(_, number, _)| *number).max().unwrap_or(0)
+}
+
+fn object(number: u64) -> Object {
+    Object {
+        name: SmolStr::new_static("main"),
+        content: Bytes::from(number.to_string()),
+    }
+}
+
+/// Returns the number in an object.
+pub fn number(object: &Object) -> u64 {
+    std::str::from_utf8(&object.content)
+        .unwrap()
+        .parse()
+        .unwrap()
+}
+
+/// The store as one host reaches it.
+#[derive(Clone)]
+pub struct Access {
+    pub store: Store,
+    pub link: Link,
+}
+
+impl Access {
+    async fn call<T>(&self, wait: Duration, answer: impl Future<Output = Result<T>>) -> Result<T> {
+        let call = async {
+            self.link.carry(Cut::ToStore).await?;
+            let answer = answer.await;
+            self.link.carry(Cut::FromStore).await?;
+            answer
+        };
+        let unanswered = |_| Error::Unavailable {
+            why: "no answer in time".to_owned(),
+        };
+        let called = timeout(wait + CALL_TIMEOUT, call).await;
+        called.map_err(unanswered)?
+    }
+}
+
+impl Origin for Access {
+    const CONFIG: &'static str = "config";
+    const LEAFS: &'static str = "leafs";
+    const HOSTS: &'static str = "hosts";
+
+    async fn list(&self, kind: &'static str, _allow_stale: bool) -> Result<Batch<Object>> {
+        self.call(Duration::ZERO, async { Ok(self.store.list(kind)) })
+            .await
+    }
+
+    async fn watch(
+        &self,
+        kind: &'static str,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<Batch<Change>> {
+        let answer = async {
+            let mut changed = self.store.changed.subscribe();
+            let any = async {
+                loop {
+                    let changes = self.store.changes(kind, since)?;
+                    if !changes.items.is_empty() {
+                        return Ok(changes);
+                    }
+                    // The store outlives the call, so its sender is not dropped.
+                    let _changed = changed.changed().await;
+                }
+            };
+            match timeout(wait, any).await {
+                Ok(changes) => changes,
+                Err(_) => self.store.changes(kind, since),
+            }
+        };
+        self.call(wait, answer).await
+    }
+}
