--- a/crates/state/tests/cuts/main.rs
+++ b/crates/state/tests/cuts/main.rs
@@ -121,3 +121,15 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// Guards against hosts that return to leafs that have left, or miss a drain, because they follow
+/// another host with an older list.
+#[tokio::test(start_paused = true)]
+async fn no_source_takes_a_host_back_to_older_leafs() {
+    let mut reversions = Vec::new();
+    for seed in SEEDS {
+        let (_, back) = run(seed).await;
+        reversions.extend(back.iter().map(|what| format!("seed {seed}: {what}")));
+    }
+    assert!(reversions.is_empty(), "{}", reversions.join("\n"));
+}
