--- a/crates/state/src/feed.rs
+++ b/crates/state/src/feed.rs
@@ -132,7 +132,13 @@
                 let contents: BTreeMap<SmolStr, Bytes> = contents.collect();
                 match self.objects_by_kind.get_mut(kind) {
                     // Sources differ in how old their lists are.
-                    Some(known) if *revision < known.complete => return None,
+                    Some(known) if *revision < known.complete => {
+                        let (listed, known) = (revision.0, known.complete.0);
+                        log::info!(
+                            "event=list_ignored kind={kind} revision={listed} known={known}"
+                        );
+                        return None;
+                    }
                     Some(known) if known.contents == contents => {
                         known.complete = *revision;
                         return None;
