Reproduce hosts that refuse the history of a restored store

The stand-in store of the tests can be restored from a copy that lacks the last writes, which are written again later; revisions go back and are given out again.

--- a/crates/state/tests/cuts/fleet.rs
+++ b/crates/state/tests/cuts/fleet.rs
@@ -166,9 +166,9 @@
         late
     }
 
-    /// Describes what a host lacks, if its link to the store has worked and the bound is over.
+    /// Describes what a host lacks, if the store and its link to it have worked and the bound is over.
     fn lateness(&self, member: &Member) -> Option<String> {
-        if !member.store.has_worked_for(STABLE_TIME) {
+        if !member.store.has_worked_for(STABLE_TIME) || !self.store.is_stable_for(STABLE_TIME) {
             return None;
         }
         let at = self.started.elapsed();
--- a/crates/state/tests/cuts/main.rs
+++ b/crates/state/tests/cuts/main.rs
@@ -71,12 +71,52 @@
     }
 }
 
+/// Guards against a host that misses a restore of the store, and then refuses what the restored store
+/// and the other hosts know because its own revisions, of the history before, are higher.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_misses_a_restore_has_later_changes_in_time() {
+    let fleet = Fleet::start(1, HOSTS);
+    sleep(Duration::from_secs(10)).await;
+    for _ in 0..8 {
+        fleet.store.advance(Access::CONFIG);
+        fleet.store.advance(Access::LEAFS);
+    }
+    sleep(Duration::from_secs(2)).await;
+    let readers = fleet.readers("d0");
+    let mut others = fleet.members.iter();
+    let missing = others.find(|m| readers.iter().all(|r| r.host.name != m.host.name));
+    let missing = missing.unwrap();
+    missing.cut_off.send_replace(true);
+    missing.store.set(Cut::Silent);
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.restore(12);
+    fleet.store.rewrite();
+    sleep(Duration::from_secs(1)).await;
+    fleet.store.advance(Access::CONFIG);
+    fleet.store.advance(Access::LEAFS);
+    missing.cut_off.send_replace(false);
+    missing.store.set(Cut::None);
+    let late = fleet.watch_for_late_changes(Duration::from_secs(20)).await;
+    assert!(late.is_empty(), "{}", late.join("\n"));
+}
+
+/// The faults of a run under random faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Faults {
+    Cuts,
+    CutsAndRestores,
+}
+
 /// Runs a fleet under the faults of a seed; returns what was late and what went back.
-async fn run(seed: u64) -> (Vec<String>, Vec<String>) {
+async fn run(seed: u64, faults: Faults) -> (Vec<String>, Vec<String>) {
     let fleet = Fleet::start(DOMAINS, HOSTS);
     let mut rng = SmallRng::seed_from_u64(seed);
     let changes = tokio::spawn(change(fleet.clone(), SmallRng::seed_from_u64(!seed)));
     let (faulty, end) = (fleet.clone(), Instant::now() + RUN_TIME);
+    let restores = match faults {
+        Faults::Cuts => None,
+        Faults::CutsAndRestores => Some(tokio::spawn(restore(fleet.clone(), seed))),
+    };
     let faults = tokio::spawn(async move {
         while Instant::now() < end {
             sleep(Duration::from_millis(rng.random_range(300..4_000))).await;
@@ -87,9 +127,26 @@
     let late = fleet.watch_for_late_changes(RUN_TIME).await;
     changes.abort();
     faults.abort();
+    if let Some(restores) = restores {
+        restores.abort();
+    }
     (late, fleet.reversions())
 }
 
+/// Restores the store from time to time; what it lost is written again soon.
+async fn restore(fleet: Fleet, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    loop {
+        sleep(Duration::from_millis(rng.random_range(4_000..16_000))).await;
+        // Some stores are restored twice in a row.
+        for _ in 0..rng.random_range(1..=2) {
+            fleet.store.restore(rng.random_range(1..20));
+            sleep(Duration::from_millis(rng.random_range(50..1_500))).await;
+        }
+        fleet.store.rewrite();
+    }
+}
+
 /// Changes objects in storms and at longer intervals.
 async fn change(fleet: Fleet, mut rng: SmallRng) {
     loop {
@@ -134,9 +191,21 @@
 /// in force, when hosts are cut off from the platform and from each other.
 #[tokio::test(start_paused = true)]
 async fn changes_are_in_force_in_time_under_random_cuts() {
+    assert_in_time(Faults::Cuts).await;
+}
+
+/// Guards against hosts that take the revisions of two histories of the store for those of one, and
+/// stay behind after the store was restored from a copy.
+#[tokio::test(start_paused = true)]
+async fn changes_are_in_force_in_time_under_random_cuts_and_restores() {
+    assert_in_time(Faults::CutsAndRestores).await;
+}
+
+/// Checks that no change is late in a run of each seed.
+async fn assert_in_time(faults: Faults) {
     let mut failures = Vec::new();
     for seed in seeds() {
-        let (late, _) = run(seed).await;
+        let (late, _) = run(seed, faults).await;
         if let Some(first) = late.first() {
             let count = late.len();
             failures.push(format!("seed {seed}: {count} times, first at {first}"));
@@ -151,7 +220,7 @@
 async fn no_source_takes_a_host_back_to_older_leafs() {
     let mut reversions = Vec::new();
     for seed in seeds() {
-        let (_, back) = run(seed).await;
+        let (_, back) = run(seed, Faults::Cuts).await;
         reversions.extend(back.iter().map(|what| format!("seed {seed}: {what}")));
     }
     assert!(reversions.is_empty(), "{}", reversions.join("\n"));
--- a/crates/state/tests/cuts/origin.rs
+++ b/crates/state/tests/cuts/origin.rs
@@ -83,81 +83,136 @@
     }
 }
 
+/// A number that was written and confirmed.
+#[derive(Clone, Copy)]
+struct Write {
+    kind: &'static str,
+    number: u64,
+    confirmed: Instant,
+}
+
 #[derive(Default)]
 struct State {
-    revision: u64,
-    /// The newest number of each kind with the time of its confirmation, oldest first.
-    numbers: Vec<(&'static str, u64, Instant)>,
-    /// The changes that watches can still read.
-    history: Vec<(u64, &'static str, u64)>,
+    /// All numbers that were confirmed, oldest first, whether or not the store still has them.
+    confirmed: Vec<Write>,
+    /// The numbers that the store has; the revision of each is its position, counted from 1.
+    writes: Vec<Write>,
+    /// The revision up to which watches can no longer read changes.
     compacted: u64,
+    restored: Option<Instant>,
+}
+
+impl State {
+    fn revision(&self) -> u64 {
+        self.writes.len() as u64
+    }
+
+    fn write(&mut self, kind: &'static str, number: u64) -> Write {
+        let confirmed = Instant::now();
+        let write = Write {
+            kind,
+            number,
+            confirmed,
+        };
+        self.writes.push(write);
+        write
+    }
 }
 
 /// The store, with one object of each kind whose content is a number that increases.
 #[derive(Clone)]
 pub struct Store {
     state: Arc<Mutex<State>>,
-    changed: watch::Sender<u64>,
+    changed: watch::Sender<()>,
 }
 
 impl Store {
     pub fn new() -> Self {
         Self {
             state: Arc::default(),
-            changed: watch::Sender::new(0),
+            changed: watch::Sender::new(()),
         }
     }
 
     /// Writes the next number of a kind.
     pub fn advance(&self, kind: &'static str) {
         let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        let (revision, next) = (state.revision, newest(&state, kind, Instant::now()) + 1);
-        state.numbers.push((kind, next, Instant::now()));
-        state.history.push((revision, kind, next));
-        self.changed.send_replace(revision);
+        let next = newest(&state.confirmed, kind, Instant::now()) + 1;
+        let write = state.write(kind, next);
+        state.confirmed.push(write);
+        self.changed.send_replace(());
     }
 
     /// Drops the history.
     pub fn compact(&self) {
         let mut state = self.state.lock().unwrap();
-        state.compacted = state.revision;
-        state.history.clear();
+        state.compacted = state.revision();
+    }
+
+    /// Restores the store from a copy that lacks the last `lost` writes.
+    pub fn restore(&self, lost: usize) {
+        let mut state = self.state.lock().unwrap();
+        // The first number of each kind is in every copy.
+        let kept = state.writes.len().saturating_sub(lost).max(2);
+        state.writes.truncate(kept);
+        state.compacted = state.compacted.min(state.revision());
+        state.restored = Some(Instant::now());
+        self.changed.send_replace(());
+    }
+
+    /// Writes the newest confirmed number of each kind again that a restored store lacks.
+    pub fn rewrite(&self) {
+        let mut state = self.state.lock().unwrap();
+        let now = Instant::now();
+        for kind in [Access::CONFIG, Access::LEAFS] {
+            let number = newest(&state.confirmed, kind, now);
+            if newest(&state.writes, kind, now) < number {
+                state.write(kind, number);
+            }
+        }
+        self.changed.send_replace(());
+    }
+
+    /// Returns whether the store was not restored for at least `time`.
+    pub fn is_stable_for(&self, time: Duration) -> bool {
+        let restored = self.state.lock().unwrap().restored;
+        restored.is_none_or(|at| at.elapsed() >= time)
     }
 
     /// Returns the number of a kind that was the newest one at a given time.
     pub fn newest_at(&self, kind: &'static str, at: Instant) -> u64 {
-        newest(&self.state.lock().unwrap(), kind, at)
+        newest(&self.state.lock().unwrap().confirmed, kind, at)
     }
 
     fn list(&self, kind: &'static str) -> Batch<Object> {
         let state = self.state.lock().unwrap();
         Batch {
-            items: vec![object(newest(&state, kind, Instant::now()))],
-            revision: Revision(state.revision),
+            items: vec![object(newest(&state.writes, kind, Instant::now()))],
+            revision: Revision(state.revision()),
         }
     }
 
     fn changes(&self, kind: &'static str, since: Revision) -> Result<Batch<Change>> {
         let state = self.state.lock().unwrap();
-        if since.0 < state.compacted {
+        if since.0 < state.compacted || since.0 > state.revision() {
             return Err(Error::Compacted);
         }
-        let later = state.history.iter();
-        let later = later.filter(|(revision, k, _)| *revision > since.0 && *k == kind);
+        let later = state.writes.iter().skip(since.0 as usize);
+        let later = later.filter(|write| write.kind == kind);
         Ok(Batch {
             items: later
-                .map(|(.., number)| Change::Put(object(*number)))
+                .map(|write| Change::Put(object(write.number)))
                 .collect(),
-            revision: Revision(state.revision),
+            revision: Revision(state.revision()),
         })
     }
 }
 
-fn newest(state: &State, kind: &'static str, at: Instant) -> u64 {
-    let written = state.numbers.iter();
-    let written = written.filter(|(k, _, confirmed)| *k == kind && *confirmed <= at);
-    written.map(|(_, number, _)| *number).max().unwrap_or(0)
+/// Returns the newest number of a kind among those that were confirmed by a given time.
+fn newest(writes: &[Write], kind: &'static str, at: Instant) -> u64 {
+    let written = writes.iter();
+    let written = written.filter(|write| write.kind == kind && write.confirmed <= at);
+    written.map(|write| write.number).max().unwrap_or(0)
 }
 
 fn object(number: u64) -> Object {
