Order revisions by the store's history first

What callers saw: hosts that missed a restore of the store handled requests by a version 103 up to 8 s after version 106 was confirmed. They were in touch with the store and with current hosts all the while.

Cause: a restored store gives out revisions again. A host that knew revision 81 of the history before dropped each list of the new one (revision 72, 73), found no host whose state covers its own, and went round. The class of fault is a logical clock that is compared across a reset without its epoch.

Fix: a revision is the number of the history (Store-Era) and the number within it, ordered in that way, in the feed, between hosts (a new field of the relay protocol) and for the cursors of watches. An answer from another history than its cursor makes the reader list all objects: the cursor's number may stand for another change there, and the store answers without 410. Followers learn of a new history even if no object differs.

--- a/crates/model/src/feed.rs
+++ b/crates/model/src/feed.rs
@@ -1,6 +1,6 @@
 //! Change notifications for platform objects, which hosts relay to each other.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use futures::Stream;
@@ -25,11 +25,29 @@
     /// The changes since the given revision are no longer available.
     #[snafu(display("platform has compacted its history; listing all objects again"))]
     Compacted,
+    /// The platform was restored from a copy, so the given revision belongs to another history.
+    #[snafu(display("platform was restored from a copy; listing all objects again"))]
+    Restored,
 }
 
 /// The revision of the platform's objects of all kinds; it increases with each change.
+///
+/// A platform that is restored from a copy begins another history, in which it issues numbers again.
+/// The revisions of a later history are greater than those of an earlier one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
+pub struct Revision {
+    /// The number of the history; it increases with each restore.
+    pub epoch: u64,
+    /// The number within the history.
+    pub number: u64,
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { epoch, number } = self;
+        write!(f, "{epoch}.{number}")
+    }
+}
 
 /// A platform object; its content is opaque to the code that relays it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -138,6 +156,9 @@
 
     /// Returns the changes of a kind after `since`, as soon as there are any or after `wait`.
     ///
+    /// The changes are those after the number of `since` in the platform's current history, which the
+    /// revision of the batch names.
+    ///
     /// # Errors
     ///
     /// Returns [`Error::Compacted`] if the platform no longer has these changes, and
--- a/crates/model/tests/feed.rs
+++ b/crates/model/tests/feed.rs
@@ -30,11 +30,17 @@
         kind: "leafs".into(),
         put: vec![object("back", "new"), object("changed", "newer")],
         deleted: vec!["gone".into()],
-        revision: Revision(7),
+        revision: Revision {
+            epoch: 0,
+            number: 7,
+        },
     };
     let batch = Batch {
         items: changes.to_vec(),
-        revision: Revision(7),
+        revision: Revision {
+            epoch: 0,
+            number: 7,
+        },
     };
     assert_eq!(Update::changes("leafs".into(), batch), expected);
 }
--- a/crates/state/src/feed.rs
+++ b/crates/state/src/feed.rs
@@ -133,15 +133,20 @@
                 match self.objects_by_kind.get_mut(kind) {
                     // Sources differ in how old their lists are.
                     Some(known) if *revision < known.complete => {
-                        let (listed, known) = (revision.0, known.complete.0);
+                        let known = known.complete;
                         log::info!(
-                            "event=list_ignored kind={kind} revision={listed} known={known}"
+                            "event=list_ignored kind={kind} revision={revision} known={known}"
                         );
                         return None;
                     }
                     Some(known) if known.contents == contents => {
-                        known.complete = *revision;
-                        return None;
+                        let before = std::mem::replace(&mut known.complete, *revision);
+                        return (before.epoch < revision.epoch).then(|| Update::Changes {
+                            kind: kind.clone(),
+                            put: Vec::new(),
+                            deleted: Vec::new(),
+                            revision: *revision,
+                        });
                     }
                     Some(_) | None => {}
                 }
@@ -160,16 +165,20 @@
                 revision,
             } => {
                 let known = self.objects_by_kind.entry(kind.clone()).or_default();
-                known.complete = *revision;
+                let before = std::mem::replace(&mut known.complete, *revision);
                 known.watched = true;
                 let contents = &mut known.contents;
                 put.retain(|o| contents.get(&o.name) != Some(&o.content));
                 contents.extend(put.iter().map(|o| (o.name.clone(), o.content.clone())));
                 deleted.retain(|name| contents.remove(name).is_some());
-                if put.is_empty() && deleted.is_empty() {
+                let is_changed = !put.is_empty() || !deleted.is_empty();
+                if is_changed {
+                    known.changed = *revision;
+                }
+                // Followers have to learn of a new history even if nothing else has changed.
+                if !is_changed && before.epoch >= revision.epoch {
                     return None;
                 }
-                known.changed = *revision;
             }
         }
         Some(update)
--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -167,6 +167,9 @@
                 }
                 Err(error) => error,
             };
+            if error == Error::Restored {
+                cursors = Cursors::default();
+            }
             let unanswered_ms = current.elapsed().as_millis();
             log::info!(
                 "event=store_read_failed watching={watching} unanswered_ms={unanswered_ms} \
@@ -210,7 +213,7 @@
                 *cursor = Some(changed.revision);
                 Ok(Update::changes(kind.into(), changed))
             }
-            Err(Error::Compacted) => {
+            Err(Error::Compacted | Error::Restored) => {
                 *cursor = None;
                 let listed = in_time(MAX_CALL_TIMEOUT, self.origin.list(kind, false)).await?;
                 *cursor = Some(listed.revision);
@@ -340,6 +343,8 @@
         send(self.updates, Update::Current(progress.current())).await;
     }
 
+    /// Returns the changes of a kind after `since`, unless the platform has begun another history: the
+    /// number of `since` may then stand for another change.
     async fn changes(
         &self,
         kind: &'static str,
@@ -347,7 +352,11 @@
         wait: Duration,
     ) -> Result<Batch<Change>> {
         let watch = self.origin.watch(kind, since, wait);
-        in_time(wait + self.call_timeout, watch).await
+        let changed = in_time(wait + self.call_timeout, watch).await?;
+        match changed.revision.epoch == since.epoch {
+            true => Ok(changed),
+            false => Err(Error::Restored),
+        }
     }
 }
 
--- a/crates/state/tests/cuts/origin.rs
+++ b/crates/state/tests/cuts/origin.rs
@@ -99,12 +99,17 @@
     writes: Vec<Write>,
     /// The revision up to which watches can no longer read changes.
     compacted: u64,
+    /// The number of restores.
+    epoch: u64,
     restored: Option<Instant>,
 }
 
 impl State {
-    fn revision(&self) -> u64 {
-        self.writes.len() as u64
+    fn revision(&self) -> Revision {
+        Revision {
+            epoch: self.epoch,
+            number: self.writes.len() as u64,
+        }
     }
 
     fn write(&mut self, kind: &'static str, number: u64) -> Write {
@@ -146,7 +151,7 @@
     /// Drops the history.
     pub fn compact(&self) {
         let mut state = self.state.lock().unwrap();
-        state.compacted = state.revision();
+        state.compacted = state.revision().number;
     }
 
     /// Restores the store from a copy that lacks the last `lost` writes.
@@ -155,7 +160,8 @@
         // The first number of each kind is in every copy.
         let kept = state.writes.len().saturating_sub(lost).max(2);
         state.writes.truncate(kept);
-        state.compacted = state.compacted.min(state.revision());
+        state.compacted = state.compacted.min(state.revision().number);
+        state.epoch += 1;
         state.restored = Some(Instant::now());
         self.changed.send_replace(());
     }
@@ -188,22 +194,22 @@
         let state = self.state.lock().unwrap();
         Batch {
             items: vec![object(newest(&state.writes, kind, Instant::now()))],
-            revision: Revision(state.revision()),
+            revision: state.revision(),
         }
     }
 
     fn changes(&self, kind: &'static str, since: Revision) -> Result<Batch<Change>> {
         let state = self.state.lock().unwrap();
-        if since.0 < state.compacted || since.0 > state.revision() {
+        if since.number < state.compacted || since.number > state.revision().number {
             return Err(Error::Compacted);
         }
-        let later = state.writes.iter().skip(since.0 as usize);
+        let later = state.writes.iter().skip(since.number as usize);
         let later = later.filter(|write| write.kind == kind);
         Ok(Batch {
             items: later
                 .map(|write| Change::Put(object(write.number)))
                 .collect(),
-            revision: Revision(state.revision()),
+            revision: state.revision(),
         })
     }
 }
--- a/crates/state/tests/follow.rs
+++ b/crates/state/tests/follow.rs
@@ -55,7 +55,10 @@
             name: "main".into(),
             content: Bytes::from(content.to_owned()),
         }],
-        revision: Revision(1),
+        revision: Revision {
+            epoch: 0,
+            number: 1,
+        },
         watched: true,
     }
 }
@@ -84,7 +87,10 @@
         log.lists_hosts.then(|| Update::All {
             kind: "hosts".into(),
             objects: Vec::new(),
-            revision: Revision(1),
+            revision: Revision {
+                epoch: 0,
+                number: 1,
+            },
             watched: false,
         })
     }
@@ -262,7 +268,10 @@
         kind: "config".into(),
         put: Vec::new(),
         deleted: vec!["main".into()],
-        revision: Revision(1),
+        revision: Revision {
+            epoch: 0,
+            number: 1,
+        },
     };
     feed.apply(change.clone());
     assert_eq!(changes.next().await, Some(change));
@@ -292,7 +301,10 @@
             content: content.into(),
         }],
         deleted: Vec::new(),
-        revision: Revision(1),
+        revision: Revision {
+            epoch: 0,
+            number: 1,
+        },
     };
     assert_eq!(feed.apply(put("two")), Some(put("two")));
     assert_eq!(feed.apply(put("two")), None);
@@ -300,7 +312,10 @@
         kind: "config".into(),
         put: Vec::new(),
         deleted: vec![name.into()],
-        revision: Revision(1),
+        revision: Revision {
+            epoch: 0,
+            number: 1,
+        },
     };
     assert_eq!(feed.apply(gone("other")), None);
     assert_eq!(feed.apply(gone("main")), Some(gone("main")));
@@ -314,7 +329,10 @@
     Update::All {
         kind,
         objects,
-        revision: Revision(revision),
+        revision: Revision {
+            epoch: 0,
+            number: revision,
+        },
         watched,
     }
 }
--- a/crates/wire/src/gen/relay.rs
+++ b/crates/wire/src/gen/relay.rs
@@ -138,6 +138,9 @@
     /// Whether changes of the kind are watched.
     #[prost(bool, tag = "8")]
     pub watched: bool,
+    /// The number of the platform's history that the revision belongs to.
+    #[prost(uint64, tag = "9")]
+    pub epoch: u64,
 }
 /// Why there is no reply that can be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/crates/wire/src/relay/codec.rs
+++ b/crates/wire/src/relay/codec.rs
@@ -215,7 +215,8 @@
             kind: kind.into(),
             whole: true,
             objects: objects(all),
-            revision: revision.0,
+            revision: revision.number,
+            epoch: revision.epoch,
             watched,
             ..proto::Update::default()
         },
@@ -227,7 +228,8 @@
         } => proto::Update {
             kind: kind.into(),
             objects: objects(put),
-            revision: revision.0,
+            revision: revision.number,
+            epoch: revision.epoch,
             gone: deleted.into_iter().map(String::from).collect(),
             ..proto::Update::default()
         },
@@ -271,19 +273,23 @@
         content: object.content.into(),
     };
     let objects = update.objects.into_iter().map(object).collect();
+    let revision = Revision {
+        epoch: update.epoch,
+        number: update.revision,
+    };
     Some(match (update.kind.is_empty(), update.whole) {
         (true, _) => Update::PlatformReachable(update.current),
         (false, true) => Update::All {
             kind: update.kind.into(),
             objects,
-            revision: Revision(update.revision),
+            revision,
             watched: update.watched,
         },
         (false, false) => Update::Changes {
             kind: update.kind.into(),
             put: objects,
             deleted: update.gone.into_iter().map(SmolStr::from).collect(),
-            revision: Revision(update.revision),
+            revision,
         },
     })
 }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -129,20 +129,29 @@
         Update::All {
             kind: "config".into(),
             objects: vec![object.clone()],
-            revision: Revision(1),
+            revision: Revision {
+                epoch: 0,
+                number: 1,
+            },
             watched: true,
         },
         Update::All {
             kind: "hosts".into(),
             objects: Vec::new(),
-            revision: Revision(2),
+            revision: Revision {
+                epoch: 3,
+                number: 2,
+            },
             watched: false,
         },
         Update::Changes {
             kind: "leafs".into(),
             put: vec![object],
             deleted: vec!["old".into()],
-            revision: Revision(u64::MAX),
+            revision: Revision {
+                epoch: u64::MAX,
+                number: u64::MAX,
+            },
         },
         Update::PlatformReachable(true),
     ]
