Keep what a restore of the store has lost until it is written again

What callers would see: calls to a leaf that had registered after the copy was taken are refused at once; a leaf that had drained gets work again; a route of a version that the copy lacks is answered 404, which no caller repeats. Hosts whose entries are lost stay unknown to the others for up to 25 s.

Cause: a list of the store was taken as the whole truth, except after an outage of a second or more. A host trusted its entry for 15 s whatever the lists said, because it could not tell which of both is older.

Fix: a new history starts a time in which the store may lack or contain what a restore has reverted. The reader lists the hosts at once. Listing::deadline no longer returns a time that has passed while the source is away, which made the reconciler wake each millisecond.

--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -28,9 +28,9 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Interval between reads of the hosts' entries.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(10);
-/// Interval between the initial reads, while the hosts of a new deployment register.
+/// Interval between the first reads after a start or a restore, while hosts register.
 const INITIAL_HOSTS_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of initial reads, which use the shorter interval.
+/// Number of reads after a start or a restore that use the shorter interval.
 const INITIAL_HOSTS_READS: u32 = 3;
 
 /// Reads objects directly from the platform.
@@ -44,14 +44,16 @@
 
 impl<O: Origin> PlatformReader for Reader<O> {
     async fn read(&self, sink: mpsc::Sender<Update>) {
+        let restored = Notify::new();
         let state = State {
             origin: &self.origin,
             limits: self.limits,
             updates: &sink,
+            restored: &restored,
             call_timeout: self.limits.call,
             reported: None,
         };
-        tokio::join!(state.read(), self.poll_hosts(&sink));
+        tokio::join!(state.read(), self.poll_hosts(&sink, &restored));
     }
 
     async fn hosts(&self) -> Option<Update> {
@@ -60,16 +62,25 @@
 }
 
 impl<O: Origin> Reader<O> {
-    /// Reads the hosts' entries periodically.
-    async fn poll_hosts(&self, updates: &mpsc::Sender<Update>) {
-        for read in 0_u32.. {
-            time::sleep(if read < INITIAL_HOSTS_READS {
-                INITIAL_HOSTS_INTERVAL
-            } else {
-                HOSTS_INTERVAL
-            })
-            .await;
-            if let Some(update) = self.list_hosts(true).await {
+    /// Reads the hosts' entries periodically, and at once when the platform was restored: hosts that it
+    /// lost have to learn that.
+    async fn poll_hosts(&self, updates: &mpsc::Sender<Update>, restored: &Notify) {
+        let mut reads = 0_u32;
+        loop {
+            let interval = match reads < INITIAL_HOSTS_READS {
+                true => INITIAL_HOSTS_INTERVAL,
+                false => HOSTS_INTERVAL,
+            };
+            let is_restored = tokio::select! {
+                () = time::sleep(interval) => false,
+                () = restored.notified() => true,
+            };
+            reads = match is_restored {
+                true => 0,
+                false => reads.saturating_add(1),
+            };
+            // A stale read may still be one of the history before.
+            if let Some(update) = self.list_hosts(!is_restored).await {
                 send(updates, update).await;
             }
         }
@@ -140,6 +151,8 @@
     origin: &'a O,
     limits: Limits,
     updates: &'a mpsc::Sender<Update>,
+    /// Notified when the platform was restored from a copy.
+    restored: &'a Notify,
     /// Time that a call may take; it grows while the platform is slow.
     call_timeout: Duration,
     /// The last reported availability of the platform.
@@ -355,7 +368,10 @@
         let changed = in_time(wait + self.call_timeout, watch).await?;
         match changed.revision.epoch == since.epoch {
             true => Ok(changed),
-            false => Err(Error::Restored),
+            false => {
+                self.restored.notify_one();
+                Err(Error::Restored)
+            }
         }
     }
 }
--- a/crates/state/tests/listing.rs
+++ b/crates/state/tests/listing.rs
@@ -69,3 +69,57 @@
     listing.replace(Vec::new(), Instant::now());
     assert!(names(&listing).is_empty());
 }
+
+/// Guards against losing a leaf that registered after the copy was taken from which the source is
+/// restored.
+#[tokio::test(start_paused = true)]
+async fn leafs_that_a_restore_loses_may_come_back() {
+    let mut listing = Listing::new();
+    listing.replace(vec![leaf("a"), leaf("new")], Instant::now());
+    listing.record_restore(Instant::now());
+    listing.replace(vec![leaf("a")], Instant::now());
+    assert_eq!(names(&listing), ["a", "new"]);
+    advance(Duration::from_secs(3)).await;
+    listing.drop_expired(Instant::now());
+    assert_eq!(names(&listing), ["a"]);
+}
+
+/// Guards against sending to leafs that have left because a restored source lists them as live.
+#[tokio::test(start_paused = true)]
+async fn leafs_that_left_before_a_restore_are_not_used_again() {
+    let leaving = Leaf {
+        state: State::Leaving,
+        ..leaf("leaving")
+    };
+    let mut listing = Listing::new();
+    listing.replace(vec![leaf("a"), leaf("gone"), leaving], Instant::now());
+    listing.remove("gone", Instant::now());
+    listing.record_restore(Instant::now());
+    let copy = vec![leaf("a"), leaf("gone"), leaf("leaving")];
+    listing.replace(copy, Instant::now());
+    let live = |listing: &Listing| {
+        let leafs = listing.leafs().leafs.into_iter();
+        let live = leafs.filter(|leaf| leaf.state == State::Live);
+        live.map(|leaf| leaf.name.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(live(&listing), ["a"]);
+    // A leaf that the source still lists once all is written again is live.
+    advance(Duration::from_secs(6)).await;
+    listing.drop_expired(Instant::now());
+    assert_eq!(live(&listing), ["a", "gone", "leaving"]);
+    assert_eq!(listing.deadline(), None);
+}
+
+/// Guards against a busy loop over a deadline that has passed and can't be acted on in an outage.
+#[tokio::test(start_paused = true)]
+async fn an_outage_right_after_another_one_has_no_deadline() {
+    let mut listing = Listing::new();
+    listing.replace(vec![leaf("a")], Instant::now());
+    listing.record_outage(Instant::now());
+    advance(Duration::from_secs(2)).await;
+    listing.record_recovery(Instant::now());
+    listing.record_outage(Instant::now());
+    advance(Duration::from_secs(10)).await;
+    assert_eq!(listing.drop_expired(Instant::now()), Vec::<String>::new());
+    assert_eq!(listing.deadline(), None);
+}
