Count the leafs that are lost under a call, and log its fingerprint

The logs had a line for each failed attempt, but could not tell whether two calls ask for the same work, nor a connection that ended without a reply from a reply that was unusable.

An ended connection is now an error of its own (Lost), each outcome counts these, also between hosts, and a call under which leafs were lost is logged with a fingerprint of host name, method, target, credentials and body. No logic changes.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -308,7 +308,7 @@
         }
         leaf::Error::Failed { .. } => (Disposition::Keep(connection), Observation::Failure),
         leaf::Error::Connect { .. } => (Disposition::Ended(connection), Observation::Unsent),
-        leaf::Error::Broken { .. } | leaf::Error::Full => {
+        leaf::Error::Broken { .. } | leaf::Error::Lost { .. } | leaf::Error::Full => {
             (Disposition::Ended(connection), Observation::Failure)
         }
     }
--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -203,7 +203,7 @@
                 self.lock().replicas[replica].record_cancel_answered(start);
                 self.release(replica, connection, true, Instant::now());
             }
-            Some(Err(leaf::Error::Broken { .. })) => {
+            Some(Err(leaf::Error::Broken { .. } | leaf::Error::Lost { .. })) => {
                 drop(connection);
                 self.lock().replicas[replica].pool.record_gone();
             }
--- a/crates/dispatch/src/forward.rs
+++ b/crates/dispatch/src/forward.rs
@@ -38,6 +38,8 @@
     /// Attempts that may have run at a leaf.
     possible_runs: u32,
     sent: u32,
+    /// Attempts whose connection ended before a reply began.
+    lost: u32,
     /// The last reply that reported a failure.
     failure: Option<Reply>,
 }
@@ -55,6 +57,7 @@
             eligible: u64::MAX,
             possible_runs: 0,
             sent: 0,
+            lost: 0,
             failure: None,
         }
     }
@@ -75,6 +78,7 @@
             }),
             begun: self.possible_runs > 0,
             sent: self.sent,
+            lost: self.lost,
         }
     }
 
@@ -109,6 +113,7 @@
                 }
                 Outcome::Error(error) => {
                     self.log_failure(replica, &error);
+                    self.lost += u32::from(matches!(error, leaf::Error::Lost { .. }));
                     let begun = !error.not_begun();
                     let cause = match &error {
                         leaf::Error::Shed { .. } => Cause::Overload,
@@ -301,6 +306,7 @@
                 }),
                 begun: false,
                 sent: 0,
+                lost: 0,
             },
         }
     }
--- a/crates/dispatch/src/search.rs
+++ b/crates/dispatch/src/search.rs
@@ -205,7 +205,9 @@
             leaf::Error::Connect { .. } | leaf::Error::Full | leaf::Error::Leaving { .. } => {
                 (Cause::Unreachable, true)
             }
-            leaf::Error::Broken { .. } | leaf::Error::Failed { .. } => (Cause::Unreachable, false),
+            leaf::Error::Broken { .. } | leaf::Error::Lost { .. } | leaf::Error::Failed { .. } => {
+                (Cause::Unreachable, false)
+            }
         };
         self.shed_retried |= first_shed;
         if self.has_attempt() {
--- a/crates/fakes/src/leafs.rs
+++ b/crates/fakes/src/leafs.rs
@@ -180,7 +180,9 @@
         }
         Error::Gone { .. } => StatusCode::GONE,
         Error::Failed { .. } => StatusCode::INTERNAL_SERVER_ERROR,
-        Error::Connect { .. } | Error::Full | Error::Broken { .. } => return Err(Closed),
+        Error::Connect { .. } | Error::Full | Error::Broken { .. } | Error::Lost { .. } => {
+            return Err(Closed);
+        }
     };
     Ok(http::json(status, &error))
 }
--- a/crates/gather/src/domain.rs
+++ b/crates/gather/src/domain.rs
@@ -443,6 +443,7 @@
         }),
         begun: false,
         sent: 0,
+        lost: 0,
     }
 }
 
--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coalesce;
 pub mod cover;
 pub mod domain;
+mod evidence;
 pub mod gatherer;
 mod latency;
 mod location;
--- a/crates/gather/src/relay.rs
+++ b/crates/gather/src/relay.rs
@@ -7,13 +7,17 @@
 
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use rattanmast_model::{
+    fingerprint::Fingerprint,
     forward::{self, Call, Forward, Merge, Options, Reply},
     peer::Cause,
     route::{Destination, Route, Table, Target},
 };
 use tokio::time::Instant;
 
-use crate::scatter::{self, Scatter};
+use crate::{
+    evidence::Evidence,
+    scatter::{self, Scatter},
+};
 
 /// The result of a call.
 pub type Result<T> = std::result::Result<T, Refusal>;
@@ -155,30 +159,42 @@
             },
         };
         let call = Arc::new(request.call);
-        match &route.target {
-            Target::One(shares) => self
-                .forward_to_one(shares, call, options)
-                .await
-                .map(Answer::Passed),
+        let (result, evidence) = match &route.target {
+            Target::One(shares) => {
+                let (reply, evidence) = self.forward_to_one(shares, &call, options).await;
+                (reply.map(Answer::Passed), evidence)
+            }
             Target::All(gather) => {
                 let scatter = Scatter::new(gather, table.version);
-                let answer = scatter.run(&self.forward, &call, options).await;
-                answer.map(Answer::Merged)
+                let (answer, evidence) = scatter.run(&self.forward, &call, options).await;
+                (answer.map(Answer::Merged), evidence)
             }
+        };
+        if evidence.lost > 0 {
+            let Evidence { lost, replied } = evidence;
+            let (id, fingerprint) = (&call.id, Fingerprint::new(&request.authority, &call));
+            log::info!(
+                "event=leafs_lost request={id} fingerprint={fingerprint} lost={lost} \
+                 replied={replied}"
+            );
         }
+        result
     }
 
     async fn forward_to_one(
         &self,
         shares: &[Destination],
-        call: Arc<Call>,
+        call: &Arc<Call>,
         options: Options,
-    ) -> Result<Reply> {
+    ) -> (Result<Reply>, Evidence) {
+        let mut evidence = Evidence::default();
         let Some(share) = self.choose_by_weight(shares) else {
-            return Err(Refusal::NotRun(Cause::Unreachable));
+            return (Err(Refusal::NotRun(Cause::Unreachable)), evidence);
         };
+        let call = Arc::clone(call);
         let forwarded = self.forward.forward(&share.service, call, options).await;
-        match forwarded.result {
+        evidence.record(&forwarded);
+        let result = match forwarded.result {
             Ok(reply) => Ok(reply),
             Err(forward::Error {
                 reply: Some(reply), ..
@@ -188,7 +204,8 @@
                 cause: Cause::Late, ..
             }) => Err(Refusal::Unknown(Failure::Late)),
             Err(_) => Err(Refusal::Unknown(Failure::Broken)),
-        }
+        };
+        (result, evidence)
     }
 
     fn choose_by_weight<'s>(&self, shares: &'s [Destination]) -> Option<&'s Destination> {
--- a/crates/gather/src/scatter.rs
+++ b/crates/gather/src/scatter.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    evidence::Evidence,
     merge,
     relay::{Failure, Refusal},
 };
@@ -46,6 +47,7 @@
     cause: Cause,
     begun: bool,
     sent: u32,
+    evidence: Evidence,
 }
 
 impl<'a> Scatter<'a> {
@@ -61,6 +63,7 @@
             cause: Cause::Late,
             begun: false,
             sent: 0,
+            evidence: Evidence::default(),
         }
     }
 
@@ -70,8 +73,10 @@
         forward: &F,
         call: &Arc<Call>,
         options: Options,
-    ) -> Result<Answer, Refusal> {
-        self.admit(forward, &options)?;
+    ) -> (Result<Answer, Refusal>, Evidence) {
+        if let Err(refusal) = self.admit(forward, &options) {
+            return (Err(refusal), self.evidence);
+        }
         let mut calls = forward.forward_all(&self.gather.services, call, options);
         loop {
             match timeout_at(self.wait_until(&options), calls.next()).await {
@@ -84,7 +89,8 @@
         // Outstanding calls may have begun at a leaf.
         self.begun |= self.digests.len() + self.failed < self.gather.services.len();
         drop(calls);
-        self.finish()
+        let evidence = self.evidence;
+        (self.finish(), evidence)
     }
 
     /// Refuses the call before any leaf begins it if too few services are likely to reply in
@@ -144,6 +150,7 @@
     fn record(&mut self, index: usize, forwarded: Completion) {
         self.begun |= forwarded.begun;
         self.sent += forwarded.sent;
+        self.evidence.record(&forwarded);
         match forwarded.result {
             Ok(reply) if self.has_digest(&reply) => {
                 self.log_duplicate(index);
--- a/crates/gather/tests/domain.rs
+++ b/crates/gather/tests/domain.rs
@@ -61,6 +61,7 @@
         }),
         begun: true,
         sent: 1,
+        lost: 0,
     }
 }
 
--- a/crates/gather/tests/relay.rs
+++ b/crates/gather/tests/relay.rs
@@ -58,6 +58,7 @@
             result,
             begun,
             sent: 1,
+            lost: 0,
         }
     }
 
--- a/crates/gather/tests/wide_queries.rs
+++ b/crates/gather/tests/wide_queries.rs
@@ -114,6 +114,7 @@
         }),
         begun: true,
         sent: 1,
+        lost: 0,
     }
 }
 
--- a/crates/model/src/forward.rs
+++ b/crates/model/src/forward.rs
@@ -92,6 +92,18 @@
     pub begun: bool,
     /// The number of requests sent to leafs.
     pub sent: u32,
+    /// The number of these whose connection ended before a reply began.
+    pub lost: u32,
+}
+
+impl Completion {
+    /// Returns whether a leaf replied, be it with a failure.
+    pub fn is_replied(&self) -> bool {
+        match &self.result {
+            Ok(_) => true,
+            Err(error) => error.reply.is_some(),
+        }
+    }
 }
 
 /// Outcomes of a call at some of its services, which are reported together.
--- a/crates/model/src/leaf.rs
+++ b/crates/model/src/leaf.rs
@@ -191,6 +191,14 @@
         /// The error of the transport.
         why: SmolStr,
     },
+    /// The connection ended before a reply began; the leaf may have crashed.
+    #[snafu(display(
+        "leaf ended the connection before it replied ({why}); see the leaf's own log"
+    ))]
+    Lost {
+        /// The error of the transport.
+        why: SmolStr,
+    },
     /// The leaf failed while it processed the request, or its reply could not be decoded.
     #[snafu(display("leaf failed the request ({why}); see the leaf's own log"))]
     Failed {
@@ -209,7 +217,7 @@
             | Self::Leaving { .. }
             | Self::Gone { .. }
             | Self::Expired { .. } => true,
-            Self::Broken { .. } | Self::Failed { .. } => false,
+            Self::Broken { .. } | Self::Lost { .. } | Self::Failed { .. } => false,
         }
     }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dedup;
 pub mod exchange;
 pub mod feed;
+pub mod fingerprint;
 pub mod forward;
 pub mod hash;
 pub mod host;
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -59,8 +59,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Connect`] if no byte of the request was sent, and [`Error::Broken`] if
-    /// the peer may have received it.
+    /// Returns [`Error::Connect`] if no byte of the request was sent, [`Error::Lost`] if the connection
+    /// ended after that, and [`Error::Broken`] if the peer sent bytes that are no response.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         if let Err(error) = self.sender.ready().await {
             return Err(connect_error(&error));
@@ -70,10 +70,12 @@
             .await
             .map_err(|mut error| {
                 let is_unsent = error.take_message().is_some();
-                let why = format_smolstr!("{}", error.error());
+                let error = error.error();
+                let why = format_smolstr!("{error}");
                 match is_unsent {
                     true => Error::Connect { why },
-                    false => Error::Broken { why },
+                    false if error.is_parse() => Error::Broken { why },
+                    false => Error::Lost { why },
                 }
             })
     }
--- a/crates/wire/src/gen/relay.rs
+++ b/crates/wire/src/gen/relay.rs
@@ -87,6 +87,9 @@
     /// With a cause, the reply is a failure that a leaf reported.
     #[prost(enumeration = "Cause", tag = "5")]
     pub cause: i32,
+    /// Requests whose connection ended before a reply began.
+    #[prost(uint32, tag = "6")]
+    pub lost: u32,
 }
 /// Outcomes that are reported together.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/wire/src/relay/codec.rs
+++ b/crates/wire/src/relay/codec.rs
@@ -151,6 +151,7 @@
         service: u32::try_from(position).unwrap_or(u32::MAX),
         begun: forwarded.begun,
         sent: forwarded.sent,
+        lost: forwarded.lost,
         reply: reply.map(encode_reply),
         cause: cause.into(),
     }
@@ -173,6 +174,7 @@
         result,
         begun: part.begun,
         sent: part.sent,
+        lost: part.lost,
     };
     Some((usize::try_from(part.service).ok()?, forwarded))
 }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -105,6 +105,7 @@
             result,
             begun: service.index > 0,
             sent: service.index.into(),
+            lost: 0,
         }
     }
 
@@ -275,6 +276,7 @@
                 }),
                 begun: true,
                 sent: 1,
+                lost: 0,
             },
         )],
         records: Some(Bytes::from_static(b"zzyy")),
