Quarantine calls that crash the leafs that run them

What callers saw: one request ended 238 leafs in 20 s; while it came, 32 to 49% of all other requests were refused, because both leafs of each shard were down.

Cause: a connection that ended without a reply was retried at the next leaf at once, and nothing remembered what a call does to its leafs. The class of fault is a retry without a limit on the harm that the request itself does (query of death).

Fix: a reply from any leaf clears a call, since a deadly one never gets any. Across calls, one under which two leafs were lost without a reply is suspected: it runs at a single leaf first. The store carries both levels to all hosts, over the watches and streams that carry configuration. A call that shared its leafs with a deadly one is cleared by the reply to its trial.

--- a/crates/dispatch/src/forward.rs
+++ b/crates/dispatch/src/forward.rs
@@ -2,9 +2,10 @@
 
 use std::{fmt::Display, sync::Arc};
 
+use futures::stream::{FuturesUnordered, Stream};
 use rattanmast_model::{
     catalog,
-    forward::{self, Call, Completion, Options, Reply},
+    forward::{self, Batch, Call, Completion, Options, Reply},
     leaf::{self, Connector, Forward, Forwarder},
     peer::Cause,
 };
@@ -18,6 +19,7 @@
     hedging::{HedgeToken, next_outcome, wait_until},
     latency::Quantile,
     lease::Lease,
+    losses::Losses,
     policy::Policy,
     service::Service,
     work::ForwardRequest,
@@ -40,6 +42,8 @@
     sent: u32,
     /// Attempts whose connection ended before a reply began.
     lost: u32,
+    /// The same for all services of the call.
+    losses: Arc<Losses>,
     /// The last reply that reported a failure.
     failure: Option<Reply>,
 }
@@ -48,7 +52,12 @@
 where
     C::Connection: Forwarder,
 {
-    pub(crate) fn new(service: &'a Arc<Service<C, P>>, call: Arc<Call>, options: Options) -> Self {
+    pub(crate) fn new(
+        service: &'a Arc<Service<C, P>>,
+        call: Arc<Call>,
+        options: Options,
+        losses: Arc<Losses>,
+    ) -> Self {
         Self {
             service,
             call,
@@ -58,6 +67,7 @@
             possible_runs: 0,
             sent: 0,
             lost: 0,
+            losses,
             failure: None,
         }
     }
@@ -101,8 +111,12 @@
                 }
             };
             match outcome {
-                Outcome::Success(reply) => return Ok(reply),
+                Outcome::Success(reply) => {
+                    self.losses.record_reply();
+                    return Ok(reply);
+                }
                 Outcome::Failure(reply) => {
+                    self.losses.record_reply();
                     self.log_failure(replica, &format_args!("status {}", reply.status));
                     self.failure = Some(reply);
                     self.retry(replica, Cause::Unreachable, true).await?;
@@ -111,9 +125,14 @@
                     self.log_failure(replica, &"connection is silent");
                     self.retry(replica, Cause::Unreachable, true).await?;
                 }
+                Outcome::Error(leaf::Error::Lost { why }) => {
+                    self.log_failure(replica, &leaf::Error::Lost { why });
+                    self.lost += 1;
+                    self.losses.record_loss();
+                    self.retry(replica, Cause::Unreachable, true).await?;
+                }
                 Outcome::Error(error) => {
                     self.log_failure(replica, &error);
-                    self.lost += u32::from(matches!(error, leaf::Error::Lost { .. }));
                     let begun = !error.not_begun();
                     let cause = match &error {
                         leaf::Error::Shed { .. } => Cause::Overload,
@@ -145,6 +164,9 @@
         if self.possible_runs >= self.max_runs() {
             return Err(cause);
         }
+        if self.losses.is_suspicious() && !self.losses.may_retry().await {
+            return Err(cause);
+        }
         let usable = self.service.lock().usable(Instant::now());
         if usable & self.eligible == 0 {
             return Err(cause);
@@ -260,6 +282,9 @@
     /// Sends a hedge to another leaf, if one is usable and the budget allows it.
     async fn hedge(&mut self) -> Option<(usize, Outcome<Reply>)> {
         let first = self.attempts[0].as_ref()?;
+        if self.losses.is_suspicious() {
+            return None;
+        }
         let (service, rank) = (self.service, self.options.rank);
         let usable = service.lock().usable(Instant::now());
         let others = usable & self.eligible & !(1 << first.replica);
@@ -286,19 +311,24 @@
 /// Delay before the next hedge after one that was not possible.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-impl<C: Connector, P: Policy> forward::Forward for Dispatcher<C, P>
+impl<C: Connector, P: Policy> Dispatcher<C, P>
 where
     C::Connection: Forwarder,
 {
-    async fn forward(
+    /// Forwards a call to one of the services that `losses` is shared by.
+    async fn forward_to(
         &self,
         service: &catalog::Service,
         call: Arc<Call>,
         options: Options,
+        losses: Arc<Losses>,
     ) -> Completion {
         let _guard = self.track_message();
         match self.service(service) {
-            Some(service) => ForwardedCall::new(&service, call, options).run().await,
+            Some(service) => {
+                let call = ForwardedCall::new(&service, call, options, losses);
+                call.run().await
+            }
             None => Completion {
                 result: Err(forward::Error {
                     cause: Cause::Unreachable,
@@ -310,6 +340,39 @@
             },
         }
     }
+}
+
+impl<C: Connector, P: Policy> forward::Forward for Dispatcher<C, P>
+where
+    C::Connection: Forwarder,
+{
+    async fn forward(
+        &self,
+        service: &catalog::Service,
+        call: Arc<Call>,
+        options: Options,
+    ) -> Completion {
+        let losses = Arc::new(Losses::new(1));
+        self.forward_to(service, call, options, losses).await
+    }
+
+    fn forward_all<'a>(
+        &'a self,
+        services: &'a [catalog::Service],
+        call: &'a Arc<Call>,
+        options: Options,
+    ) -> impl Stream<Item = Batch> + Send + Unpin + 'a {
+        let losses = Arc::new(Losses::new(services.len()));
+        let send = move |(position, service)| {
+            let (call, losses) = (Arc::clone(call), Arc::clone(&losses));
+            async move {
+                let completion = self.forward_to(service, call, options, losses).await;
+                Batch::from((position, completion))
+            }
+        };
+        let calls = services.iter().enumerate().map(send);
+        calls.collect::<FuturesUnordered<_>>()
+    }
 
     fn admits(&self, service: &catalog::Service, options: &Options) -> Result<(), Cause> {
         let now = Instant::now();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod lease;
 mod leaving;
 pub mod limit;
+mod losses;
 mod orders;
 pub mod policy;
 mod pool;
--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -21,6 +21,7 @@
 mod pending;
 pub mod pin;
 pub mod policy;
+pub mod quarantine;
 mod recovery;
 pub mod relay;
 pub mod retry;
--- a/crates/gather/src/relay.rs
+++ b/crates/gather/src/relay.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     evidence::Evidence,
+    quarantine::{Admission, Quarantine},
     scatter::{self, Scatter},
 };
 
@@ -64,6 +65,11 @@
     NoRoute,
     /// No leaf began the call.
     NotRun(Cause),
+    /// The call was not sent, because such calls crash leafs, or are suspected to.
+    Quarantined {
+        /// How long that holds.
+        remaining: Duration,
+    },
     /// A leaf may have run the call.
     Unknown(Failure),
 }
@@ -96,16 +102,18 @@
     forward: F,
     settings: Settings,
     table: RwLock<Option<Arc<Table>>>,
+    quarantine: Quarantine,
     random: Mutex<SmallRng>,
 }
 
 impl<F: Forward> Relay<F> {
-    /// Creates a relay that sends calls through `forward`.
-    pub fn new(forward: F, settings: Settings, seed: u64) -> Self {
+    /// Creates a relay that sends calls through `forward`, except those that `quarantine` rejects.
+    pub fn new(forward: F, quarantine: Quarantine, settings: Settings, seed: u64) -> Self {
         Self {
             forward,
             settings,
             table: RwLock::default(),
+            quarantine,
             random: Mutex::new(SmallRng::seed_from_u64(seed)),
         }
     }
@@ -159,26 +167,61 @@
             },
         };
         let call = Arc::new(request.call);
-        let (result, evidence) = match &route.target {
+        let fingerprint = || Fingerprint::new(&request.authority, &call);
+        let admission = match self.quarantine.is_empty() {
+            true => Admission::Free,
+            false => self.quarantine.admit(fingerprint()),
+        };
+        let trial = match admission {
+            Admission::Free => None,
+            Admission::Trial(trial) => Some(trial),
+            Admission::Rejected(remaining) => return Err(Refusal::Quarantined { remaining }),
+        };
+        let on_trial = trial.is_some();
+        let (result, evidence) = self
+            .forward_call(table, route, &call, options, on_trial)
+            .await;
+        if evidence.lost > 0 || on_trial {
+            let Evidence { lost, replied } = evidence;
+            let (id, fingerprint) = (&call.id, fingerprint());
+            log::info!(
+                "event=leafs_lost request={id} fingerprint={fingerprint} lost={lost} \
+                 replied={replied} on_trial={on_trial}"
+            );
+            self.quarantine.record(fingerprint, evidence, on_trial);
+        }
+        result
+    }
+
+    /// Sends a call to the target of its route.
+    async fn forward_call(
+        &self,
+        table: &Table,
+        route: &Route,
+        call: &Arc<Call>,
+        options: Options,
+        on_trial: bool,
+    ) -> (Result<Answer>, Evidence) {
+        match &route.target {
             Target::One(shares) => {
-                let (reply, evidence) = self.forward_to_one(shares, &call, options).await;
+                let max_attempts = match on_trial {
+                    true => 1,
+                    false => options.max_attempts,
+                };
+                let options = Options {
+                    max_attempts,
+                    ..options
+                };
+                let (reply, evidence) = self.forward_to_one(shares, call, options).await;
                 (reply.map(Answer::Passed), evidence)
             }
             Target::All(gather) => {
                 let scatter = Scatter::new(gather, table.version);
-                let (answer, evidence) = scatter.run(&self.forward, &call, options).await;
+                let run = scatter.run(&self.forward, call, options, on_trial);
+                let (answer, evidence) = run.await;
                 (answer.map(Answer::Merged), evidence)
             }
-        };
-        if evidence.lost > 0 {
-            let Evidence { lost, replied } = evidence;
-            let (id, fingerprint) = (&call.id, Fingerprint::new(&request.authority, &call));
-            log::info!(
-                "event=leafs_lost request={id} fingerprint={fingerprint} lost={lost} \
-                 replied={replied}"
-            );
         }
-        result
     }
 
     async fn forward_to_one(
--- a/crates/gather/src/scatter.rs
+++ b/crates/gather/src/scatter.rs
@@ -68,16 +68,30 @@
     }
 
     /// Calls all services, and answers as soon as waiting longer would not improve the answer.
+    ///
+    /// A call `on_trial` is sent to a single leaf first, and to other services once that has replied.
     pub(crate) async fn run<F: Forward>(
         mut self,
         forward: &F,
         call: &Arc<Call>,
         options: Options,
+        on_trial: bool,
     ) -> (Result<Answer, Refusal>, Evidence) {
         if let Err(refusal) = self.admit(forward, &options) {
             return (Err(refusal), self.evidence);
         }
-        let mut calls = forward.forward_all(&self.gather.services, call, options);
+        let mut positions: Vec<usize> = (0..self.gather.services.len()).collect();
+        if on_trial {
+            let tried = self.try_one(forward, call, options).await;
+            if !self.evidence.replied {
+                let evidence = self.evidence;
+                return (Err(self.refusal()), evidence);
+            }
+            positions.retain(|position| *position != tried);
+        }
+        let services = self.services_at(&positions);
+        let calls = forward.forward_all(&services, call, options);
+        let mut calls = calls.map(|batch| batch.map_positions(&positions));
         loop {
             match timeout_at(self.wait_until(&options), calls.next()).await {
                 Ok(Some(batch)) => self.record_batch(batch),
@@ -93,6 +107,32 @@
         (self.finish(), evidence)
     }
 
+    /// Sends the call to a single leaf of a service that admits it; returns the service's position.
+    async fn try_one<F: Forward>(
+        &mut self,
+        forward: &F,
+        call: &Arc<Call>,
+        options: Options,
+    ) -> usize {
+        let services = &self.gather.services;
+        let admits = |position: &usize| forward.admits(&services[*position], &options).is_ok();
+        let tried = (0..services.len()).find(admits).unwrap_or_default();
+        let options = Options {
+            max_attempts: 1,
+            ..options
+        };
+        let mut calls = forward.forward_all(&services[tried..=tried], call, options);
+        while let Ok(Some(batch)) = timeout_at(options.deadline, calls.next()).await {
+            self.record_batch(batch.map_positions(&[tried]));
+        }
+        tried
+    }
+
+    fn services_at(&self, positions: &[usize]) -> Vec<Service> {
+        let services = positions.iter().map(|p| self.gather.services[*p].clone());
+        services.collect()
+    }
+
     /// Refuses the call before any leaf begins it if too few services are likely to reply in
     /// time.
     fn admit<F: Forward>(&self, forward: &F, options: &Options) -> Result<(), Refusal> {
@@ -200,13 +240,18 @@
         self.share_of(self.gather.services.len() - self.failed) < self.gather.min_share
     }
 
+    /// Returns why there is no answer.
+    fn refusal(self) -> Refusal {
+        match (self.begun, self.cause) {
+            (false, cause) => Refusal::NotRun(cause),
+            (true, Cause::Late) => Refusal::Unknown(Failure::Late),
+            (true, _) => Refusal::Unknown(Failure::Broken),
+        }
+    }
+
     fn finish(self) -> Result<Answer, Refusal> {
         if !self.has_min_share() {
-            return Err(match (self.begun, self.cause) {
-                (false, cause) => Refusal::NotRun(cause),
-                (true, Cause::Late) => Refusal::Unknown(Failure::Late),
-                (true, _) => Refusal::Unknown(Failure::Broken),
-            });
+            return Err(self.refusal());
         }
         let Gather {
             record_bytes,
--- a/crates/gather/tests/deployments.rs
+++ b/crates/gather/tests/deployments.rs
@@ -16,6 +16,7 @@
 use rattanmast_gather::{
     coalesce::Coalescing,
     domain::Domain,
+    quarantine::Quarantine,
     relay::{Answer, Refusal, Relay, Request, Settings},
 };
 use rattanmast_model::{
@@ -327,7 +328,12 @@
             .insert(name.clone(), dispatcher.clone());
         let domain = Domain::new(name, dispatcher, peers.clone());
         domain.apply(&config);
-        Arc::new(Relay::new(domain, Settings::default(), fleet.seed))
+        Arc::new(Relay::new(
+            domain,
+            Quarantine::new().0,
+            Settings::default(),
+            fleet.seed,
+        ))
     };
     config.hosts.iter().map(host).collect()
 }
@@ -380,7 +386,7 @@
             assert_eq!(answer.body.len(), 4 * parts.min(3));
         }
         Ok(Answer::Passed(_)) => panic!("a search is merged"),
-        Err(Refusal::NotRun(_)) => {
+        Err(Refusal::NotRun(_) | Refusal::Quarantined { .. }) => {
             let ran = (0..deployment.shards).any(|i| was_reached(&deployment.service(i)));
             assert!(!ran, "call {id} ran and was refused as not run");
         }
--- a/crates/gather/tests/printed.rs
+++ b/crates/gather/tests/printed.rs
@@ -1,5 +1,7 @@
 //! The `Debug` text of refusals, which is printed in a log line and in the body of a reply.
 
+use std::time::Duration;
+
 use rattanmast_gather::relay::{Failure, Refusal};
 use rattanmast_model::{catalog::Snapshot, peer::Cause};
 
@@ -18,6 +20,12 @@
             Refusal::NotRun(Cause::Gone(vec![Snapshot(4), Snapshot(5)])),
             "NotRun(Gone([Snapshot(4), Snapshot(5)]))",
         ),
+        (
+            Refusal::Quarantined {
+                remaining: Duration::from_millis(1_500),
+            },
+            "Quarantined { remaining: 1.5s }",
+        ),
         (Refusal::Unknown(Failure::Late), "Unknown(Late)"),
         (Refusal::Unknown(Failure::Broken), "Unknown(Broken)"),
     ];
@@ -34,6 +42,7 @@
                 | Cause::Moved
                 | Cause::Gone(_),
             )
+            | Refusal::Quarantined { .. }
             | Refusal::Unknown(Failure::Late | Failure::Broken) => {}
         }
         assert_eq!(format!("{refusal:?}"), expected);
--- a/crates/gather/tests/relay.rs
+++ b/crates/gather/tests/relay.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use rattanmast_gather::{
     merge,
+    quarantine::Quarantine,
     relay::{Answer, Failure, Refusal, Relay, Request, Settings},
 };
 use rattanmast_model::{
@@ -106,7 +107,7 @@
         rank: Rank::Urgent,
         target,
     };
-    let relay = Relay::new(services, Settings::default(), 1);
+    let relay = Relay::new(services, Quarantine::new().0, Settings::default(), 1);
     let table = Table::new(Snapshot(4), [route.clone()]);
     let start = Instant::now();
     let request = Request {
@@ -261,7 +262,7 @@
         target: Target::One(shares),
     };
     let table = Table::new(Snapshot(1), [route.clone()]);
-    let relay = Relay::new(services, Settings::default(), 7);
+    let relay = Relay::new(services, Quarantine::new().0, Settings::default(), 7);
     let mut to_first = 0;
     for _ in 0..1_000 {
         let request = Request {
@@ -290,7 +291,12 @@
 /// Guards against an older configuration that replaces a newer one.
 #[tokio::test(start_paused = true)]
 async fn routes_never_go_back() {
-    let relay = Relay::new(Services::default(), Settings::default(), 1);
+    let relay = Relay::new(
+        Services::default(),
+        Quarantine::new().0,
+        Settings::default(),
+        1,
+    );
     for version in [3, 5, 4, 5] {
         relay.apply(Arc::new(Table::new(Snapshot(version), [])));
     }
--- a/crates/model/src/feed.rs
+++ b/crates/model/src/feed.rs
@@ -142,6 +142,8 @@
     const LEAFS: &'static str;
     /// The kind of the hosts' entries.
     const HOSTS: &'static str;
+    /// The kind of the calls that crash leafs.
+    const QUARANTINE: &'static str;
 
     /// Returns all objects of a kind; `allow_stale` permits a cheaper read of older data.
     ///
--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -17,6 +17,9 @@
 const CALM_TIME: Duration = Duration::from_secs(10);
 /// How long one watch of the leafs waits for changes.
 const LEAF_WATCH_WAIT: Duration = Duration::from_secs(5);
+/// How long one watch of the quarantine waits for changes; an idle one is ended by TCP keepalive if its
+/// connection is dead.
+const QUARANTINE_WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Delay before the next watch of the configuration after a change, so that a burst of changes
 /// arrives in one answer.
 const CONFIG_BATCH_DELAY: Duration = Duration::from_millis(500);
@@ -103,11 +106,12 @@
     }
 }
 
-/// The revisions that configuration and leafs were read up to; `None` if all have to be listed.
+/// The revisions that the watched kinds were read up to; `None` if all have to be listed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cursors {
     config: Option<Revision>,
     leafs: Option<Revision>,
+    quarantine: Option<Revision>,
 }
 
 /// How current the results of the two watches are.
@@ -212,6 +216,10 @@
         send(self.updates, leafs).await;
         *current = started;
         send(self.updates, Update::Current(started)).await;
+        let quarantine = self
+            .read_kind(O::QUARANTINE, &mut cursors.quarantine)
+            .await?;
+        send(self.updates, quarantine).await;
         Ok(())
     }
 
@@ -249,7 +257,7 @@
         }
     }
 
-    /// Watches configuration and leafs until a call fails.
+    /// Watches configuration, leafs and quarantine until a call fails.
     async fn watch(&self, cursors: &mut Cursors, current: &mut Instant) -> Result<Infallible> {
         let progress = Mutex::new(Progress {
             config: *current,
@@ -260,9 +268,10 @@
         let watching = tokio::try_join!(
             self.watch_config(&mut cursors.config, &progress, &check_leafs),
             self.watch_leafs(&mut cursors.leafs, &progress, &check_leafs),
+            self.watch_quarantine(&mut cursors.quarantine),
         );
         *current = progress.lock().await.current();
-        watching.map(|(never, _)| never)
+        watching.map(|(never, ..)| never)
     }
 
     /// Watches the configuration, with an answer at least once in the refresh interval.
@@ -328,6 +337,17 @@
         }
     }
 
+    /// Watches the quarantine, which rarely changes.
+    async fn watch_quarantine(&self, cursor: &mut Option<Revision>) -> Result<Infallible> {
+        loop {
+            let answer = self
+                .ask(O::QUARANTINE, cursor, QUARANTINE_WATCH_WAIT)
+                .await?;
+            let update = Update::changes(O::QUARANTINE.into(), answer.changed);
+            send(self.updates, update).await;
+        }
+    }
+
     /// Waits up to `wait` for changes of a kind since `cursor`, and advances it.
     async fn ask(
         &self,
--- a/crates/state/tests/cuts/origin.rs
+++ b/crates/state/tests/cuts/origin.rs
@@ -264,6 +264,7 @@
     const CONFIG: &'static str = "config";
     const LEAFS: &'static str = "leafs";
     const HOSTS: &'static str = "hosts";
+    const QUARANTINE: &'static str = "quarantine";
 
     async fn list(&self, kind: &'static str, _allow_stale: bool) -> Result<Batch<Object>> {
         self.call(Duration::ZERO, async { Ok(self.store.list(kind)) })
