Obey what leafs say about themselves in their answers

What leafs saw: one that said in its answers that it is leaving went on getting requests until the store listed it so, without end while the store was away; one that asked for a pause got each request that no other leaf could take.

Cause: neither header was read. The class of fault is a statement of the one that knows best, which is overruled by a list.

Fix: a connection tells the terms of the last answer, and the dispatcher keeps them for each leaf, apart from its load and health. A leaf that asked for a pause, or that is leaving for more than a second, is not used as the last choice either; calls are then refused at once.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -101,6 +101,9 @@
         replica: lease.replica,
     };
     let completion = wait(&target, &mut connection, &work, &mut tx).await;
+    if let Some(terms) = connection.terms() {
+        lease.record_terms(terms);
+    }
     let (disposition, observation, outcome) = match completion {
         WaitResult::Answered(answer) => evaluate(&lease, connection, answer, &work, deadline),
         WaitResult::Cancelled(Err(leaf::Error::Failed { .. })) => (
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -104,6 +104,13 @@
         service.schedule();
     }
 
+    /// Records what an answer said about the requests that the leaf takes.
+    pub(crate) fn record_terms(&self, terms: leaf::Terms) {
+        let now = Instant::now();
+        let mut state = self.service.lock();
+        state.replicas[self.replica].record_terms(terms, now);
+    }
+
     fn record(&self, observation: Observation, now: Instant) {
         let sent = self.sent_at.unwrap_or(now);
         let elapsed = now.saturating_duration_since(sent);
--- a/crates/dispatch/src/leaving.rs
+++ b/crates/dispatch/src/leaving.rs
@@ -11,6 +11,9 @@
 /// By then the platform lists a drained and stopped leaf as leaving or gone; a leaf that was put
 /// back into service without a restart gets work again.
 const LEAF_REPORT_TTL: Duration = Duration::from_mins(10);
+/// How long a leaf that reported that it is leaving may still be used if no other one is usable; such
+/// leafs serve for some seconds.
+const LAST_RESORT_TIME: Duration = Duration::from_secs(1);
 /// How long a peer's report holds; peers repeat it with every exchange.
 const PEER_REPORT_TTL: Duration = Duration::from_secs(30);
 
@@ -18,6 +21,8 @@
 #[derive(Debug)]
 pub(crate) struct Evidence {
     listed: host::State,
+    /// When the leaf first reported that it is leaving.
+    first_leaf_report: Option<Instant>,
     leaf_report_until: Option<Instant>,
     peer_report_until: Option<Instant>,
 }
@@ -26,6 +31,7 @@
     pub(crate) fn new(listed: host::State) -> Self {
         Self {
             listed,
+            first_leaf_report: None,
             leaf_report_until: None,
             peer_report_until: None,
         }
@@ -43,6 +49,7 @@
 
     /// Records the leaf's own report: the draining flag of a reply, or a refusal.
     pub(crate) fn record_leaf_report(&mut self, now: Instant) {
+        self.first_leaf_report.get_or_insert(now);
         self.leaf_report_until = Some(now + LEAF_REPORT_TTL);
     }
 
@@ -52,7 +59,8 @@
 
     /// Discards reports that concern an earlier process of the leaf.
     pub(crate) fn clear_reports(&mut self) {
-        (self.leaf_report_until, self.peer_report_until) = (None, None);
+        (self.first_leaf_report, self.leaf_report_until) = (None, None);
+        self.peer_report_until = None;
     }
 
     /// Returns whether the leaf must not get new work.
@@ -61,9 +69,13 @@
         self.listed == host::State::Leaving || peer_reported || self.is_self_reported(now)
     }
 
-    /// Returns whether the platform lists the leaf as leaving.
-    pub(crate) fn is_listed_leaving(&self) -> bool {
-        self.listed == host::State::Leaving
+    /// Returns whether the leaf must not get work even if no other one is usable.
+    pub(crate) fn excludes_last_resort(&self, now: Instant) -> bool {
+        let reported = self
+            .first_leaf_report
+            .filter(|_| self.is_self_reported(now));
+        let is_late = reported.is_some_and(|first| now >= first + LAST_RESORT_TIME);
+        self.listed == host::State::Leaving || is_late
     }
 
     /// Returns whether the leaf itself reported that it is leaving.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod progress;
 mod queue;
 mod replica;
+mod restriction;
 mod search;
 mod service;
 mod settings;
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -15,6 +15,7 @@
     leaving::Evidence,
     limit::{Bounds, Limit},
     pool::Pool,
+    restriction::Restriction,
 };
 
 /// What a service knows of one of its leafs.
@@ -28,6 +29,7 @@
     pub(crate) latency: Latency,
     pub(crate) health: Health,
     pub(crate) leaving: Evidence,
+    restriction: Restriction,
     /// Requests of this host in flight at the leaf.
     pub(crate) in_flight: u32,
     /// The send times of the requests in flight.
@@ -60,6 +62,7 @@
             latency: Latency::new(),
             health: Health::new(),
             leaving: Evidence::new(leaf.state),
+            restriction: Restriction::default(),
             in_flight: 0,
             sent_times: Vec::new(),
             round_trip: None,
@@ -72,7 +75,7 @@
 
     /// Returns the maximum number of requests in flight at the leaf.
     pub(crate) fn allowed(&self, now: Instant) -> u32 {
-        if !self.listed || self.leaving.is_leaving(now) {
+        if !self.listed || self.leaving.is_leaving(now) || !self.restriction.is_open(now) {
             return 0;
         }
         self.limit.allowed().min(self.health.allowed(now))
@@ -84,9 +87,10 @@
     }
 
     /// Returns whether the leaf may be tried despite failures if no other one is usable.
-    pub(crate) fn is_last_resort(&self) -> bool {
+    pub(crate) fn is_last_resort(&self, now: Instant) -> bool {
         let connected = self.in_flight > 0 || self.pool.has_idle();
-        self.listed && !self.leaving.is_listed_leaving() && connected
+        let takes_work = !self.leaving.excludes_last_resort(now) && self.restriction.is_open(now);
+        self.listed && takes_work && connected
     }
 
     /// Returns whether another leaf may take this position.
@@ -118,6 +122,14 @@
         }
     }
 
+    /// Records what an answer said about the requests that the leaf takes.
+    pub(crate) fn record_terms(&mut self, terms: leaf::Terms, now: Instant) {
+        if terms.leaving {
+            self.leaving.record_leaf_report(now);
+        }
+        self.restriction.record(terms, now);
+    }
+
     /// Returns the round-trip time; zero if it is not known.
     pub(crate) fn round_trip_secs(&self) -> f64 {
         self.round_trip
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -195,7 +195,7 @@
     /// If all of them fail, it contains those that still have a connection.
     pub(crate) fn usable(&self, now: Instant) -> u64 {
         match self.matching(|r| r.is_usable(now)) {
-            0 => self.matching(Replica::is_last_resort),
+            0 => self.matching(|r| r.is_last_resort(now)),
             usable => usable,
         }
     }
@@ -319,7 +319,7 @@
         let views = self.replicas.iter().enumerate().filter_map(|(index, r)| {
             let limit = match healthy {
                 true => r.allowed(now),
-                false => u32::from(r.is_last_resort()),
+                false => u32::from(r.is_last_resort(now)),
             };
             if eligible >> index & 1 == 0 || limit == 0 {
                 return None;
--- a/crates/model/src/leaf.rs
+++ b/crates/model/src/leaf.rs
@@ -100,6 +100,15 @@
     pub draining: bool,
 }
 
+/// What a leaf says in an answer about the requests that it takes; it binds the host that got it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// Whether the leaf is leaving, and takes no new request.
+    pub leaving: bool,
+    /// How long the leaf wants no request from this host.
+    pub pause: Option<Duration>,
+}
+
 /// The reply to a [`Search`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SearchReply {
@@ -257,6 +266,12 @@
         true
     }
 
+    /// Returns what the answer to the last request said; `None` if there was no answer, or if the
+    /// protocol has no such statements.
+    fn terms(&self) -> Option<Terms> {
+        None
+    }
+
     /// Asks the leaf to cancel the request `id`, which was sent over another connection.
     fn cancel(&mut self, _id: request::Id) -> impl Future<Output = Result<()>> + Send {
         let why = SmolStr::new_static("requests are cancelled by closing their connection");
