Keep to the rate of requests that a leaf names

Cause: Server-Limit was not read. The limit holds for the sum over all hosts, and a host knows only its own sends.

Fix: the terms of an answer include the rate. It is divided among the hosts that send to the leaf; each has slots at a fixed interval from a random time on, and a slot that is not used within half a second is lost, so that the sum stays near the rate although no host knows the others' sends, also far below one request a second a host. Each send takes a slot: first sends, retries and hedges. Urgent calls may use a slot before the others. A leaf without a slot is not usable, so a call that no leaf takes now is refused at once.

--- a/crates/dispatch/src/assignment.rs
+++ b/crates/dispatch/src/assignment.rs
@@ -100,6 +100,7 @@
                 share: roster::connections_per_candidate(hosts, limits.connections),
                 warm: limits.slots + 1,
                 hedges: settings.hedges,
+                holders: count(hosts),
             },
             _ if direct => Allotment::of_each_host(hosts, limits.connections, settings.hedges),
             _ => Allotment::in_domain(position, self.domains, limits.connections, settings.hedges),
@@ -108,6 +109,7 @@
             position,
             limits,
             share: allotment.share,
+            holders: allotment.holders,
             warm: allotment.warm,
             floors: config.floors,
             hedges: allotment.hedges,
@@ -143,16 +145,19 @@
     share: u32,
     warm: u32,
     hedges: hedge::Budget,
+    /// The number of hosts among which limits are divided into parts such as this one.
+    holders: u32,
 }
 
 impl Allotment {
     /// Divides the limits equally among all hosts.
     fn of_each_host(hosts: usize, connections: u32, hedges: hedge::Budget) -> Self {
-        let count = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+        let holders = count(hosts);
         Self {
-            share: (connections / count).max(1),
+            share: (connections / holders).max(1),
             warm: WARM_CONNECTIONS_OF_EACH_HOST,
-            hedges: divide_budget(hedges, count),
+            hedges: divide_budget(hedges, holders),
+            holders,
         }
     }
 
@@ -170,27 +175,39 @@
             start: 0.0,
             ..divide_budget(hedges, divisor)
         };
+        // Each stand-in has half of what the candidate before it has.
+        let holders = match position {
+            Some(position @ 0..=2) => domains.saturating_mul(1 << position),
+            _ => u32::MAX,
+        };
         match position {
             Some(0) => Self {
                 share: share.max(1),
                 warm: WARM_CONNECTIONS_OF_SENDER,
-                hedges: divide_budget(hedges, domains),
+                hedges: divide_budget(hedges, holders),
+                holders,
             },
-            // Each stand-in has half of what the candidate before it has.
             Some(position @ 1..=2) => Self {
                 share: (share >> position).max(STANDBY_CONNECTIONS),
                 warm: 0,
-                hedges: unearned(domains.saturating_mul(1 << position)),
+                hedges: unearned(holders),
+                holders,
             },
             _ => Self {
                 share: STANDBY_CONNECTIONS,
                 warm: 0,
-                hedges: unearned(u32::MAX),
+                hedges: unearned(holders),
+                holders,
             },
         }
     }
 }
 
+/// Returns a number of hosts, at least one.
+fn count(hosts: usize) -> u32 {
+    u32::try_from(hosts.max(1)).unwrap_or(u32::MAX)
+}
+
 /// Returns the part of a hedge budget that each of `holders` hosts may use.
 fn divide_budget(budget: hedge::Budget, holders: u32) -> hedge::Budget {
     let burst = (budget.burst / f64::from(holders)).max(MIN_HEDGE_BURST);
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -108,7 +108,8 @@
     pub(crate) fn record_terms(&self, terms: leaf::Terms) {
         let now = Instant::now();
         let mut state = self.service.lock();
-        state.replicas[self.replica].record_terms(terms, now);
+        let state = &mut *state;
+        state.replicas[self.replica].record_terms(terms, now, &mut state.rng);
     }
 
     fn record(&self, observation: Observation, now: Instant) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod pool;
 mod progress;
 mod queue;
+mod quota;
 mod replica;
 mod restriction;
 mod search;
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -29,7 +29,7 @@
     pub(crate) latency: Latency,
     pub(crate) health: Health,
     pub(crate) leaving: Evidence,
-    restriction: Restriction,
+    pub(crate) restriction: Restriction,
     /// Requests of this host in flight at the leaf.
     pub(crate) in_flight: u32,
     /// The send times of the requests in flight.
@@ -54,7 +54,7 @@
 const REPLIES_PROVING_PROGRESS: usize = 3;
 
 impl<L: Connection, M: Limit> Replica<L, M> {
-    pub(crate) fn new(leaf: leaf::Leaf, bounds: Bounds) -> Self {
+    pub(crate) fn new(leaf: leaf::Leaf, bounds: Bounds, holders: u32) -> Self {
         Self {
             listed: true,
             pool: Pool::new(bounds.share),
@@ -62,7 +62,7 @@
             latency: Latency::new(),
             health: Health::new(),
             leaving: Evidence::new(leaf.state),
-            restriction: Restriction::default(),
+            restriction: Restriction::new(holders),
             in_flight: 0,
             sent_times: Vec::new(),
             round_trip: None,
@@ -123,11 +123,14 @@
     }
 
     /// Records what an answer said about the requests that the leaf takes.
-    pub(crate) fn record_terms(&mut self, terms: leaf::Terms, now: Instant) {
+    pub(crate) fn record_terms(&mut self, terms: leaf::Terms, now: Instant, rng: &mut SmallRng) {
         if terms.leaving {
             self.leaving.record_leaf_report(now);
         }
-        self.restriction.record(terms, now);
+        if self.restriction.record(terms, now, rng) {
+            let (leaf, rate) = (&self.leaf.name, terms.rate);
+            log::info!("event=leaf_limited leaf={leaf} rate={rate:?}");
+        }
     }
 
     /// Returns the round-trip time; zero if it is not known.
--- a/crates/dispatch/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -43,6 +43,8 @@
     pub(crate) position: Option<usize>,
     pub(crate) limits: leaf::Limits,
     pub(crate) share: u32,
+    /// The number of hosts that have the same part of the service as this one.
+    pub(crate) holders: u32,
     /// Connections to each leaf that are kept open while unused.
     pub(crate) warm: u32,
     pub(crate) floors: Floors,
@@ -125,7 +127,7 @@
                 replica.leaf = (*leaf).clone();
                 continue;
             }
-            let replica = Replica::new((*leaf).clone(), bounds);
+            let replica = Replica::new((*leaf).clone(), bounds, self.role.holders);
             // Queued requests refer to positions, so one is reused only while the queue is empty.
             let vacant = self.replicas.iter().position(Replica::is_vacant);
             match vacant.filter(|_| self.queue.is_empty()) {
@@ -139,6 +141,7 @@
         }
         for replica in &mut self.replicas {
             replica.limit.set_bounds(bounds);
+            replica.restriction.set_holders(self.role.holders);
         }
     }
 
@@ -321,7 +324,8 @@
                 true => r.allowed(now),
                 false => u32::from(r.is_last_resort(now)),
             };
-            if eligible >> index & 1 == 0 || limit == 0 {
+            let is_open = r.restriction.is_open_for(lane, now);
+            if eligible >> index & 1 == 0 || limit == 0 || !is_open {
                 return None;
             }
             let full = r.in_flight >= lanes.max_in_flight(lane, owed, limit, slots);
@@ -349,6 +353,7 @@
         let charged_secs = self.usage.cost(rank).as_secs_f64();
         let replica = &mut self.replicas[index];
         let connection = replica.pool.acquire(now)?;
+        replica.restriction.record_sent(now);
         replica.in_flight += 1;
         let in_flight = replica.in_flight;
         self.lanes.charge(rank, charged_secs);
--- a/crates/model/src/leaf.rs
+++ b/crates/model/src/leaf.rs
@@ -107,6 +107,9 @@
     pub leaving: bool,
     /// How long the leaf wants no request from this host.
     pub pause: Option<Duration>,
+    /// The requests a second that the leaf takes from all hosts together, as long as its answers say so;
+    /// `None` if it names no limit.
+    pub rate: Option<f64>,
 }
 
 /// The reply to a [`Search`].
