--- a/crates/gather/src/relay.rs
+++ b/crates/gather/src/relay.rs
@@ -38,6 +38,20 @@
     pub timeout: Option<Duration>,
 }
 
+impl Request {
+    /// Returns the request with a timeout that ends at `end` at the latest, so that it is refused as not
+    /// run if that is too early.
+    #[must_use]
+    pub fn ending_by(self, end: Instant) -> Self {
+        let left = end.saturating_duration_since(self.received);
+        let timeout = self.timeout.map_or(left, |timeout| timeout.min(left));
+        Self {
+            timeout: Some(timeout),
+            ..self
+        }
+    }
+}
+
 /// An answer to a caller.
 #[derive(Clone, Debug)]
 pub enum Answer {
