Tell the hosts of a failure domain of calls that crash leafs at once

A caller whose call crashed leafs tries again within some milliseconds at another host of its failure domain, before that host hears of the call through the store.

--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -18,6 +18,7 @@
 mod location;
 pub mod matching;
 pub mod merge;
+pub mod notice;
 mod pending;
 pub mod pin;
 pub mod policy;
--- a/crates/gather/src/quarantine.rs
+++ b/crates/gather/src/quarantine.rs
@@ -13,7 +13,11 @@
 };
 
 use rand::Rng as _;
-use rattanmast_model::{fingerprint::Fingerprint, hash::Map};
+use rattanmast_model::{
+    fingerprint::Fingerprint,
+    hash::Map,
+    quarantine::{Level, Listener, Report},
+};
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::evidence::Evidence;
@@ -36,15 +40,6 @@
 /// Number of announcements that may wait for the platform.
 const MAX_PENDING_ANNOUNCEMENTS: usize = 64;
 
-/// How a call is treated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Level {
-    /// The call may run at a single leaf, on trial.
-    Suspected,
-    /// The call is not sent to any leaf.
-    Quarantined,
-}
-
 /// A change that other hosts should know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Announcement {
@@ -214,19 +209,26 @@
         })
     }
 
-    /// Records how other hosts treat a call.
+    /// Records how the platform lists a call.
     pub fn apply(&self, fingerprint: Fingerprint, level: Level) {
+        self.raise(Report { fingerprint, level });
+        if let Some(record) = self.lock().get_mut(&fingerprint) {
+            record.listed = true;
+        }
+    }
+
+    /// Records how another host treats a call.
+    fn raise(&self, Report { fingerprint, level }: Report) {
         let now = Instant::now();
         let mut records = self.lock();
         make_room(&mut records, now);
         let record = records.entry(fingerprint).or_insert(Record {
             lost: 0,
             level: None,
-            listed: true,
+            listed: false,
             on_trial: false,
             end: now,
         });
-        record.listed = true;
         if record.level < Some(level) {
             record.raise(Some(level), now);
             log::info!(
@@ -269,6 +271,12 @@
     }
 }
 
+impl Listener for Quarantine {
+    fn hear(&self, report: Report) {
+        self.raise(report);
+    }
+}
+
 impl Record {
     fn raise(&mut self, level: Option<Level>, now: Instant) {
         self.level = level;
@@ -280,16 +288,6 @@
     }
 }
 
-impl Level {
-    /// Returns the name of the level in the log and at the platform.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Suspected => "suspected",
-            Self::Quarantined => "quarantined",
-        }
-    }
-}
-
 /// Makes room for one more record.
 fn make_room(records: &mut Map<Fingerprint, Record>, now: Instant) {
     if records.len() < MAX_RECORDS {
--- a/crates/gather/tests/quarantine.rs
+++ b/crates/gather/tests/quarantine.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use rattanmast_gather::{
-    quarantine::{Announcement, Level, Quarantine},
+    quarantine::{Announcement, Quarantine},
     relay::{Refusal, Relay, Request, Settings},
 };
 use rattanmast_model::{
@@ -18,6 +18,7 @@
     fingerprint::Fingerprint,
     forward::{self, Call, Completion, Forward, Options, Reply},
     peer::Cause,
+    quarantine::{Level, Listener as _, Report},
     rank::Rank,
     route::{Gather, Route, Table, Target},
 };
@@ -190,8 +191,10 @@
 async fn what_other_hosts_know_counts() {
     let host = Host::new();
     host.quarantine.apply(fingerprint("/a"), Level::Suspected);
-    host.quarantine
-        .apply(fingerprint("/deadly"), Level::Suspected);
+    host.quarantine.hear(Report {
+        fingerprint: fingerprint("/deadly"),
+        level: Level::Suspected,
+    });
     assert_eq!(host.send("/deadly").await, ("failed", 1));
     assert_eq!(host.send("/deadly").await, ("quarantined", 0));
     assert_eq!(host.send("/a").await, ("answered", SERVICES));
--- a/crates/model/src/forward.rs
+++ b/crates/model/src/forward.rs
@@ -92,7 +92,8 @@
     pub begun: bool,
     /// The number of requests sent to leafs.
     pub sent: u32,
-    /// The number of these whose connection ended before a reply began.
+    /// The number of these whose leaf ended the connection before a reply and accepted no other one,
+    /// while no leaf had replied to the call.
     pub lost: u32,
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod preset;
+pub mod quarantine;
 pub mod query;
 pub mod range;
 pub mod rank;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -16,6 +16,7 @@
     hash::Map,
     host::{self, Host},
     peer::{self, Error},
+    quarantine::{Level, Listener, Messenger, Report},
 };
 use smol_str::{SmolStr, format_smolstr};
 use tokio::{
@@ -61,9 +62,10 @@
 
 /// Handles the calls of other hosts.
 #[derive(Clone)]
-pub struct Server<F, P> {
+pub struct Server<F, P, Q> {
     forward: F,
     feed: P,
+    quarantine: Q,
 }
 
 /// A stream of response messages, fed through a channel.
@@ -78,7 +80,7 @@
 }
 
 #[tonic::async_trait]
-impl<F: Forward, P: Publisher> relay_server::Relay for Server<F, P> {
+impl<F: Forward, P: Publisher, Q: Listener> relay_server::Relay for Server<F, P, Q> {
     type SendStream = Responses<proto::Parts>;
     type FollowStream = Responses<proto::Update>;
 
@@ -152,17 +154,39 @@
         });
         Ok(Response::new(Responses(receiver)))
     }
+
+    async fn tell(
+        &self,
+        request: Request<proto::Report>,
+    ) -> Result<Response<proto::Heard>, Status> {
+        let report = request.into_inner();
+        let Ok(fingerprint) = report.fingerprint.parse() else {
+            let why = "the fingerprint is not readable; run one release on all hosts";
+            return Err(Status::invalid_argument(why));
+        };
+        let level = match report.quarantined {
+            true => Level::Quarantined,
+            false => Level::Suspected,
+        };
+        self.quarantine.hear(Report { fingerprint, level });
+        Ok(Response::new(proto::Heard {}))
+    }
 }
 
 /// Serves other hosts on `listener` until `stop` is cancelled.
-pub async fn serve<F: Forward, P: Publisher>(
+pub async fn serve<F: Forward, P: Publisher, Q: Listener>(
     listener: TcpListener,
     forward: F,
     feed: P,
+    quarantine: Q,
     stop: CancellationToken,
 ) {
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    let server = relay_server::RelayServer::new(Server { forward, feed });
+    let server = relay_server::RelayServer::new(Server {
+        forward,
+        feed,
+        quarantine,
+    });
     let served = tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
         .add_service(server.max_decoding_message_size(MAX_MESSAGE_BYTES))
@@ -296,6 +320,18 @@
     }
 }
 
+impl Messenger for Client {
+    async fn tell(&self, host: &host::Name, report: Report) -> peer::Result<()> {
+        let mut client = self.host(host)?;
+        let report = proto::Report {
+            fingerprint: report.fingerprint.to_string(),
+            quarantined: report.level == Level::Quarantined,
+        };
+        let told = client.tell(report).await;
+        told.map(drop).map_err(|status| call_error(host, &status))
+    }
+}
+
 /// The updates of a followed host.
 pub struct Updates {
     host: host::Name,
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -5,7 +5,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -23,6 +23,7 @@
     forward::{self, Batch, Call, Completion, Forward, Merge, Options, RelayClient as _, Reply},
     host::Host,
     peer::Cause,
+    quarantine::{Level, Listener, Messenger as _, Report},
     rank::Rank,
 };
 use rattanmast_wire::relay::{self, Client};
@@ -172,14 +173,30 @@
     }
 }
 
+/// The reports that a host has heard.
+#[derive(Clone, Default)]
+struct Heard(Arc<Mutex<Vec<Report>>>);
+
+impl Listener for Heard {
+    fn hear(&self, report: Report) {
+        self.0.lock().unwrap().push(report);
+    }
+}
+
 /// Starts a host, and returns its roster entry.
 async fn start_host<F: Forward>(echo: &F) -> Host {
+    start_listening_host(echo, Heard::default()).await
+}
+
+/// Starts a host that hears reports, and returns its roster entry.
+async fn start_listening_host<F: Forward>(echo: &F, heard: Heard) -> Host {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(relay::serve(
         listener,
         echo.clone(),
         Feed,
+        heard,
         CancellationToken::new(),
     ));
     Host {
@@ -397,3 +414,20 @@
     assert!(at >= asked - AGE, "{:?}", asked - at);
     assert!(at <= Instant::now() - AGE, "{:?}", at.elapsed());
 }
+
+/// Guards against reports of calls that crash leafs which are lost or altered between hosts.
+#[tokio::test]
+async fn reports_of_calls_that_crash_leafs_are_heard() {
+    let heard = Heard::default();
+    let host = start_listening_host(&Echo::default(), heard.clone()).await;
+    let client = Client::default();
+    client.apply(std::slice::from_ref(&host));
+    let reports = [Level::Suspected, Level::Quarantined].map(|level| Report {
+        fingerprint: "0123456789abcdef0123456789abcdef".parse().unwrap(),
+        level,
+    });
+    for report in reports {
+        client.tell(&host.name, report).await.unwrap();
+    }
+    assert_eq!(*heard.0.lock().unwrap(), reports);
+}
