Risk fewer leafs for a call that no leaf has replied to

Before any reply to a call to several services, at most two parts are hedged: the call is slow then, not a leaf. 2. A leaf that ends a connection now counts as crashed only if it accepts no other one.

dispatch/tests/losses has both; few_parts_are_hedged_before_any_reply fails without the limit (20 requests), parts_are_retried_if_the_leafs_are_still_there without the check.

--- a/crates/dispatch/src/connections.rs
+++ b/crates/dispatch/src/connections.rs
@@ -20,6 +20,10 @@
 const CANCEL_TIMEOUT_BOUNDS: [Duration; 2] =
     [Duration::from_millis(20), Duration::from_millis(250)];
 
+/// Time within which a leaf that has not crashed accepts a connection; the latency between regions is
+/// 12 ms.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
+
 impl<C: Connector, P: Policy> Service<C, P> {
     /// Opens a connection that the pool has reserved.
     pub(crate) fn connect(self: &Arc<Self>, replica: usize) {
@@ -60,6 +64,15 @@
         None
     }
 
+    /// Returns whether a leaf accepts connections, as one does that has ended a single connection but has
+    /// not crashed.
+    pub(crate) async fn is_accepting(&self, replica: usize) -> bool {
+        let leaf = self.lock().replicas[replica].leaf.clone();
+        let open = self.shared.connector.open(&leaf);
+        let opened = tokio::time::timeout(ACCEPT_TIMEOUT, open).await;
+        matches!(opened, Ok(Ok(_)))
+    }
+
     /// Returns a connection to the pool, or closes it if it is not needed there.
     pub(crate) fn release(
         self: &Arc<Self>,
--- a/crates/dispatch/src/forward.rs
+++ b/crates/dispatch/src/forward.rs
@@ -40,7 +40,7 @@
     /// Attempts that may have run at a leaf.
     possible_runs: u32,
     sent: u32,
-    /// Attempts whose connection ended before a reply began.
+    /// Leafs that crashed under the call, as far as this host knows.
     lost: u32,
     /// The same for all services of the call.
     losses: Arc<Losses>,
@@ -127,8 +127,7 @@
                 }
                 Outcome::Error(leaf::Error::Lost { why }) => {
                     self.log_failure(replica, &leaf::Error::Lost { why });
-                    self.lost += 1;
-                    self.losses.record_loss();
+                    self.record_end(replica).await;
                     self.retry(replica, Cause::Unreachable, true).await?;
                 }
                 Outcome::Error(error) => {
@@ -188,6 +187,16 @@
         Ok(())
     }
 
+    /// Records whether a leaf that ended the connection of an attempt has crashed.
+    ///
+    /// That does not matter once another leaf has survived the call.
+    async fn record_end(&mut self, replica: usize) {
+        if !self.losses.is_replied() && !self.service.is_accepting(replica).await {
+            self.lost += 1;
+            self.losses.record_loss();
+        }
+    }
+
     /// Returns the maximum number of leafs that may run the call.
     fn max_runs(&self) -> u32 {
         match self.options.idempotent {
@@ -282,7 +291,7 @@
     /// Sends a hedge to another leaf, if one is usable and the budget allows it.
     async fn hedge(&mut self) -> Option<(usize, Outcome<Reply>)> {
         let first = self.attempts[0].as_ref()?;
-        if self.losses.is_suspicious() {
+        if !self.losses.may_hedge() {
             return None;
         }
         let (service, rank) = (self.service, self.options.rank);
@@ -298,6 +307,7 @@
             lease = service.acquire_uncounted(rank, self.options.deadline, others) => lease.ok()?,
         };
         token.spend();
+        self.losses.record_hedge();
         if let Some(first) = &self.attempts[0] {
             let after = first.sent_at.elapsed().as_millis();
             let why = format_smolstr!("no reply after {after} ms");
--- a/crates/dispatch/src/losses.rs
+++ b/crates/dispatch/src/losses.rs
@@ -1,7 +1,8 @@
 //! What the attempts of one call revealed so far about its effect on leafs.
 //!
 //! A call that crashes the leafs that run it gets no reply from any. Its other attempts wait until a
-//! reply shows that a lost leaf ended for another reason.
+//! reply shows that a lost leaf ended for another reason. Before any reply, hedges are few as well: it
+//! is the call that is slow then, and not a leaf.
 
 use std::time::Duration;
 
@@ -10,13 +11,17 @@
 /// Number of lost leafs, without a reply from any, from which no other leaf is risked.
 const MAX_LOSSES: u32 = 2;
 
+/// Number of hedges of a call to several services before any of these has replied.
+const MAX_BLIND_HEDGES: u32 = 2;
+
 /// Time for which a retry after a lost leaf waits for a reply from any other one.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(30);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
-    /// Attempts whose connection ended before a reply began.
+    /// Leafs that crashed while they ran the call.
     lost: u32,
+    hedges: u32,
     replied: bool,
 }
 
@@ -36,7 +41,12 @@
         }
     }
 
-    /// Records that a connection ended before a reply began.
+    /// Returns whether a leaf has replied.
+    pub(crate) fn is_replied(&self) -> bool {
+        self.counts.borrow().replied
+    }
+
+    /// Records that a leaf crashed before it replied.
     pub(crate) fn record_loss(&self) {
         self.counts.send_modify(|counts| counts.lost += 1);
     }
@@ -47,6 +57,21 @@
             .send_if_modified(|counts| !std::mem::replace(&mut counts.replied, true));
     }
 
+    /// Records a hedge.
+    pub(crate) fn record_hedge(&self) {
+        self.counts.send_if_modified(|counts| {
+            counts.hedges += 1;
+            false
+        });
+    }
+
+    /// Returns whether a hedge may be sent.
+    pub(crate) fn may_hedge(&self) -> bool {
+        let counts = *self.counts.borrow();
+        let is_blind = self.services > 1 && counts.hedges >= MAX_BLIND_HEDGES;
+        counts.replied || (counts.lost == 0 && !is_blind)
+    }
+
     /// Returns whether leafs were lost and none has replied yet.
     pub(crate) fn is_suspicious(&self) -> bool {
         let counts = *self.counts.borrow();
--- a/crates/gather/src/evidence.rs
+++ b/crates/gather/src/evidence.rs
@@ -5,7 +5,7 @@
 /// What became of the leafs that a call was sent to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Evidence {
-    /// Requests whose connection ended before a reply began; their leafs may have crashed.
+    /// Requests whose leafs seem to have crashed before they replied.
     pub(crate) lost: u32,
     /// Whether a leaf replied, and so survived the call.
     pub(crate) replied: bool,
