--- a/crates/gather/src/quarantine.rs
+++ b/crates/gather/src/quarantine.rs
@@ -180,14 +180,7 @@
     ) -> Option<Announcement> {
         let now = Instant::now();
         let mut records = self.lock();
-        make_room(&mut records, now);
-        let record = records.entry(fingerprint).or_insert(Record {
-            lost: 0,
-            level: None,
-            listed: false,
-            on_trial: false,
-            end: now + SUSPICION_TIME,
-        });
+        let record = find_or_insert(&mut records, fingerprint, now);
         record.lost = record.lost.saturating_add(lost);
         let level = match on_trial {
             true => Some(Level::Quarantined),
@@ -221,14 +214,7 @@
     fn raise(&self, Report { fingerprint, level }: Report) {
         let now = Instant::now();
         let mut records = self.lock();
-        make_room(&mut records, now);
-        let record = records.entry(fingerprint).or_insert(Record {
-            lost: 0,
-            level: None,
-            listed: false,
-            on_trial: false,
-            end: now,
-        });
+        let record = find_or_insert(&mut records, fingerprint, now);
         if record.level < Some(level) {
             record.raise(Some(level), now);
             log::info!(
@@ -288,11 +274,26 @@
     }
 }
 
+/// Returns the record of a call; a new one if it has none.
+fn find_or_insert(
+    records: &mut Map<Fingerprint, Record>,
+    fingerprint: Fingerprint,
+    now: Instant,
+) -> &mut Record {
+    if records.len() >= MAX_RECORDS {
+        make_room(records, now);
+    }
+    records.entry(fingerprint).or_insert(Record {
+        lost: 0,
+        level: None,
+        listed: false,
+        on_trial: false,
+        end: now + SUSPICION_TIME,
+    })
+}
+
 /// Makes room for one more record.
 fn make_room(records: &mut Map<Fingerprint, Record>, now: Instant) {
-    if records.len() < MAX_RECORDS {
-        return;
-    }
     records.retain(|_, record| now < record.end);
     let first = records
         .iter()
--- a/crates/state/src/feed.rs
+++ b/crates/state/src/feed.rs
@@ -116,73 +116,84 @@
 
 impl Inner {
     /// Applies an update; returns its effective changes, or `None` if there are none.
-    fn merge(&mut self, mut update: Update) -> Option<Update> {
-        match &mut update {
-            Update::PlatformReachable(reachable) => self.platform_reachable = *reachable,
-            Update::Current(at) if self.current >= Some(*at) => return None,
-            Update::Current(at) => self.current = Some(*at),
-            Update::All {
-                kind,
-                objects,
-                revision,
-                watched,
-            } => {
-                let listed = objects.iter();
-                let contents = listed.map(|o| (o.name.clone(), o.content.clone()));
-                let contents: BTreeMap<SmolStr, Bytes> = contents.collect();
-                match self.objects_by_kind.get_mut(kind) {
-                    // Sources differ in how old their lists are.
-                    Some(known) if *revision < known.complete => {
-                        let known = known.complete;
-                        log::info!(
-                            "event=list_ignored kind={kind} revision={revision} known={known}"
-                        );
-                        return None;
-                    }
-                    Some(known) if known.contents == contents => {
-                        let before = std::mem::replace(&mut known.complete, *revision);
-                        return (before.epoch < revision.epoch).then(|| Update::Changes {
-                            kind: kind.clone(),
-                            put: Vec::new(),
-                            deleted: Vec::new(),
-                            revision: *revision,
-                        });
-                    }
-                    Some(_) | None => {}
-                }
-                let listed = Objects {
-                    contents,
-                    complete: *revision,
-                    changed: *revision,
-                    watched: *watched,
-                };
-                self.objects_by_kind.insert(kind.clone(), listed);
+    fn merge(&mut self, update: Update) -> Option<Update> {
+        match update {
+            Update::PlatformReachable(reachable) => self.platform_reachable = reachable,
+            Update::Current(at) if self.current >= Some(at) => return None,
+            Update::Current(at) => self.current = Some(at),
+            Update::All { .. } => return self.merge_list(update),
+            Update::Changes { .. } => return self.merge_changes(update),
+        }
+        Some(update)
+    }
+
+    /// Replaces the objects of a kind unless the list is older than they are.
+    fn merge_list(&mut self, update: Update) -> Option<Update> {
+        let Update::All {
+            kind,
+            objects,
+            revision,
+            watched,
+        } = &update
+        else {
+            return None;
+        };
+        let listed = objects.iter();
+        let contents = listed.map(|o| (o.name.clone(), o.content.clone()));
+        let contents: BTreeMap<SmolStr, Bytes> = contents.collect();
+        match self.objects_by_kind.get_mut(kind) {
+            // Sources differ in how old their lists are.
+            Some(known) if *revision < known.complete => {
+                let known = known.complete;
+                log::info!("event=list_ignored kind={kind} revision={revision} known={known}");
+                return None;
             }
-            Update::Changes {
-                kind,
-                put,
-                deleted,
-                revision,
-            } => {
-                let known = self.objects_by_kind.entry(kind.clone()).or_default();
+            // Followers have to learn of a new history even if nothing else has changed.
+            Some(known) if known.contents == contents => {
                 let before = std::mem::replace(&mut known.complete, *revision);
-                known.watched = true;
-                let contents = &mut known.contents;
-                put.retain(|o| contents.get(&o.name) != Some(&o.content));
-                contents.extend(put.iter().map(|o| (o.name.clone(), o.content.clone())));
-                deleted.retain(|name| contents.remove(name).is_some());
-                let is_changed = !put.is_empty() || !deleted.is_empty();
-                if is_changed {
-                    known.changed = *revision;
-                }
-                // Followers have to learn of a new history even if nothing else has changed.
-                if !is_changed && before.epoch >= revision.epoch {
-                    return None;
-                }
+                return (before.epoch < revision.epoch).then(|| Update::Changes {
+                    kind: kind.clone(),
+                    put: Vec::new(),
+                    deleted: Vec::new(),
+                    revision: *revision,
+                });
             }
+            Some(_) | None => {}
         }
+        let listed = Objects {
+            contents,
+            complete: *revision,
+            changed: *revision,
+            watched: *watched,
+        };
+        self.objects_by_kind.insert(kind.clone(), listed);
         Some(update)
     }
+
+    /// Applies changes, and drops those from the update that are known.
+    fn merge_changes(&mut self, mut update: Update) -> Option<Update> {
+        let Update::Changes {
+            kind,
+            put,
+            deleted,
+            revision,
+        } = &mut update
+        else {
+            return None;
+        };
+        let known = self.objects_by_kind.entry(kind.clone()).or_default();
+        let before = std::mem::replace(&mut known.complete, *revision);
+        known.watched = true;
+        let contents = &mut known.contents;
+        put.retain(|o| contents.get(&o.name) != Some(&o.content));
+        contents.extend(put.iter().map(|o| (o.name.clone(), o.content.clone())));
+        deleted.retain(|name| contents.remove(name).is_some());
+        let is_changed = !put.is_empty() || !deleted.is_empty();
+        if is_changed {
+            known.changed = *revision;
+        }
+        (is_changed || before.epoch < revision.epoch).then_some(update)
+    }
 }
 
 impl Inner {
