--- a/crates/fakes/tests/http.rs
+++ b/crates/fakes/tests/http.rs
@@ -216,7 +216,7 @@
     let refused = extra.search(&search(1, 1)).await.unwrap_err();
     assert!(matches!(
         refused,
-        Error::Connect { .. } | Error::Broken { .. }
+        Error::Connect { .. } | Error::Lost { .. }
     ));
     let mut first = links.pop().unwrap();
     let wanted = search(2, 1);
@@ -251,7 +251,7 @@
     };
     route.set_faults(lose);
     let lost = link.order(&order(2, "lost")).await.unwrap_err();
-    assert!(matches!(lost, Error::Broken { .. }));
+    assert!(matches!(lost, Error::Lost { .. }));
     let close = proxy::Faults {
         close_after_request: 1.0,
         ..proxy::Faults::default()
@@ -259,7 +259,7 @@
     route.set_faults(close);
     let mut link = Connector.open(&leaf).await.unwrap();
     let closed = link.order(&order(3, "closed")).await.unwrap_err();
-    assert!(matches!(closed, Error::Broken { .. }));
+    assert!(matches!(closed, Error::Lost { .. }));
     until("two orders", || model.runs().len() >= 2).await;
     assert_eq!(model.runs()["passed"], 1);
     assert_eq!(model.runs()["lost"], 1);
