--- a/crates/gather/src/scatter.rs
+++ b/crates/gather/src/scatter.rs
@@ -1,6 +1,6 @@
 //! Sending one call to many services and merging their replies into one answer.
 
-use std::sync::Arc;
+use std::{borrow::Cow, sync::Arc};
 
 use bytes::Bytes;
 use futures::StreamExt as _;
@@ -80,18 +80,26 @@
         if let Err(refusal) = self.admit(forward, &options) {
             return (Err(refusal), self.evidence);
         }
-        let mut positions: Vec<usize> = (0..self.gather.services.len()).collect();
+        // The services that are left after a trial; `None` for all of them.
+        let mut rest: Option<Vec<usize>> = None;
         if on_trial {
             let tried = self.try_one(forward, call, options).await;
             if !self.evidence.replied {
                 let evidence = self.evidence;
                 return (Err(self.refusal()), evidence);
             }
-            positions.retain(|position| *position != tried);
+            let all = 0..self.gather.services.len();
+            rest = Some(all.filter(|position| *position != tried).collect());
         }
-        let services = self.services_at(&positions);
+        let services = match &rest {
+            Some(positions) => Cow::Owned(self.services_at(positions)),
+            None => Cow::Borrowed(&self.gather.services[..]),
+        };
         let calls = forward.forward_all(&services, call, options);
-        let mut calls = calls.map(|batch| batch.map_positions(&positions));
+        let mut calls = calls.map(|batch| match &rest {
+            Some(positions) => batch.map_positions(positions),
+            None => batch,
+        });
         loop {
             match timeout_at(self.wait_until(&options), calls.next()).await {
                 Ok(Some(batch)) => self.record_batch(batch),
--- a/crates/model/src/quarantine.rs
+++ b/crates/model/src/quarantine.rs
@@ -2,10 +2,13 @@
 
 use std::future::Future;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{fingerprint::Fingerprint, host, peer};
 
 /// How a call is treated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Level {
     /// The call may run at a single leaf, on trial.
     Suspected,
