--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -243,7 +243,14 @@
             }
             Err(Error::Compacted | Error::Restored) => {
                 *cursor = None;
+                let asked = Instant::now();
                 let listed = in_time(MAX_LIST_TIME, self.origin.list(kind, false)).await?;
+                let (objects, revision) = (listed.items.len(), listed.revision);
+                let took_ms = asked.elapsed().as_millis();
+                log::info!(
+                    "event=store_listed kind={kind} revision={revision} objects={objects} \
+                     took_ms={took_ms}"
+                );
                 *cursor = Some(listed.revision);
                 Ok(Update::All {
                     kind: kind.into(),
@@ -398,7 +405,14 @@
             resend(again, self.limits.resend).await
         };
         let answer = answer_of_either(first, again);
+        let asked = Instant::now();
         let changed = in_time(wait + self.call_timeout, answer).await?;
+        let (changes, revision) = (changed.items.len(), changed.revision);
+        let took_ms = asked.elapsed().as_millis();
+        log::info!(
+            "event=store_read kind={kind} since={since} revision={revision} changes={changes} \
+             took_ms={took_ms}"
+        );
         match changed.revision.epoch == since.epoch {
             true => Ok(changed),
             false => {
