--- a/crates/state/tests/cuts/main.rs
+++ b/crates/state/tests/cuts/main.rs
@@ -22,6 +22,9 @@
 /// Time of a run under random faults.
 const RUN_TIME: Duration = Duration::from_secs(60);
 
+/// Number of changes during an outage, which take many answers.
+const BACKLOG_CHANGES: usize = 400;
+
 /// Returns the seeds of the runs under random faults.
 fn seeds() -> RangeInclusive<u64> {
     let text = env::var("RATTANMAST_CUT_SEEDS").unwrap_or_else(|_| "0-19".to_owned());
@@ -119,6 +122,45 @@
     }
 }
 
+/// Guards against a reader that takes the first part of many changes for all of them: after an outage it
+/// claims to be current, and it and its followers miss what came last, such as a leaf that is leaving.
+#[tokio::test(start_paused = true)]
+async fn changes_after_a_backlog_of_many_answers_are_in_force_in_time() {
+    let fleet = Fleet::start(DOMAINS, HOSTS);
+    sleep(Duration::from_secs(10)).await;
+    let all: Vec<usize> = (0..fleet.members.len()).collect();
+    let outage = fleet.cut_store(&all, Cut::ToStore, Duration::from_secs(6));
+    let changes = async {
+        sleep(Duration::from_secs(1)).await;
+        for _ in 0..BACKLOG_CHANGES {
+            fleet.store.advance(Access::LEAFS);
+        }
+    };
+    tokio::join!(outage, changes);
+    sleep(Duration::from_secs(2)).await;
+    fleet.store.advance(Access::LEAFS);
+    let late = fleet.watch_for_late_changes(Duration::from_secs(20)).await;
+    assert!(late.is_empty(), "{}", late.join("\n"));
+}
+
+/// Guards against a reader that reads one answer of changes at a time and falls behind while leafs change
+/// faster than that.
+#[tokio::test(start_paused = true)]
+async fn changes_that_come_faster_than_one_answer_a_delay_are_in_force_in_time() {
+    let fleet = Fleet::start(1, HOSTS);
+    sleep(Duration::from_secs(10)).await;
+    let store = fleet.store.clone();
+    let changes = tokio::spawn(async move {
+        loop {
+            store.advance(Access::LEAFS);
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+    let late = fleet.watch_for_late_changes(RUN_TIME).await;
+    changes.abort();
+    assert!(late.is_empty(), "{}", late.join("\n"));
+}
+
 /// The faults of a run under random faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Faults {
--- a/crates/state/tests/cuts/origin.rs
+++ b/crates/state/tests/cuts/origin.rs
@@ -20,6 +20,8 @@
 const LATENCY: Duration = Duration::from_millis(12);
 /// Time after which TCP keepalive ends a connection over a link that is cut.
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum number of changes in an answer; the client has to ask for those that follow.
+const PAGE_CHANGES: usize = 20;
 /// Timeout of a call, beyond the time for which a watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -228,13 +230,22 @@
         if since.number < state.compacted || since.number > state.revision().number {
             return Err(Error::Compacted);
         }
-        let later = state.writes.iter().skip(since.number as usize);
-        let later = later.filter(|write| write.kind == kind);
+        let numbered = (1_u64..).zip(&state.writes).skip(since.number as usize);
+        let mut later = numbered.filter(|(_, write)| write.kind == kind);
+        let page: Vec<_> = later.by_ref().take(PAGE_CHANGES).collect();
+        let number = match (later.next(), page.last()) {
+            (Some(_), Some((number, _))) => *number,
+            _ => state.revision().number,
+        };
         Ok(Batch {
-            items: later
-                .map(|write| Change::Put(object(write.number)))
+            items: page
+                .iter()
+                .map(|(_, write)| Change::Put(object(write.number)))
                 .collect(),
-            revision: state.revision(),
+            revision: Revision {
+                number,
+                ..state.revision()
+            },
         })
     }
 }
