Advance a watch's revision only after its changes are passed on

What callers saw: nothing that was traced to this; by design a leaf that is leaving, or a version, that a host never learns of until the object changes again, because the change was read and dropped.

Cause: the revision was recorded before the changes were sent to the channel of updates. When the channel is full at that moment and another watch fails, the read is ended, and the next one starts after the changes.

Evidence: changes_are_passed_on_although_another_read_fails_meanwhile failed before ("the change of the leafs does not arrive" in 20 s) and passes now.

Why this works: the future can be dropped only while it waits for the channel, and until it has sent the changes the revision is the one before them, so they are read again.

--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -303,8 +303,7 @@
             let wait = (current + refresh).saturating_duration_since(Instant::now());
             let answer = self.ask(O::CONFIG, cursor, wait).await?;
             current = answer.current;
-            let update = Update::changes(O::CONFIG.into(), answer.changed);
-            send(self.updates, update).await;
+            self.pass_on(O::CONFIG, answer.changed, cursor).await;
             let mut progress = progress.lock().await;
             progress.record_config(current, cursor.unwrap_or_default());
             self.report(&progress).await;
@@ -336,8 +335,7 @@
                 }
             };
             wait = LEAF_WATCH_WAIT;
-            let update = Update::changes(O::LEAFS.into(), answer.changed);
-            send(self.updates, update).await;
+            self.pass_on(O::LEAFS, answer.changed, cursor).await;
             let mut progress = progress.lock().await;
             progress.leafs = progress.leafs.max(answer.current);
             progress.leaf_revision = cursor.unwrap_or_default();
@@ -357,21 +355,31 @@
             let answer = self
                 .ask(O::QUARANTINE, cursor, QUARANTINE_WATCH_WAIT)
                 .await?;
-            let update = Update::changes(O::QUARANTINE.into(), answer.changed);
-            send(self.updates, update).await;
+            self.pass_on(O::QUARANTINE, answer.changed, cursor).await;
         }
     }
 
-    /// Waits up to `wait` for changes of a kind since `cursor`, and advances it.
-    async fn ask(
+    /// Passes changes on, then advances the cursor, so that a dropped future loses no change.
+    async fn pass_on(
         &self,
         kind: &'static str,
+        changed: Batch<Change>,
         cursor: &mut Option<Revision>,
+    ) {
+        let revision = changed.revision;
+        send(self.updates, Update::changes(kind.into(), changed)).await;
+        *cursor = Some(revision);
+    }
+
+    /// Waits up to `wait` for changes of a kind since `cursor`.
+    async fn ask(
+        &self,
+        kind: &'static str,
+        cursor: &Option<Revision>,
         wait: Duration,
     ) -> Result<Answer> {
         let asked = Instant::now();
         let changed = self.changes(kind, cursor.unwrap_or_default(), wait).await?;
-        *cursor = Some(changed.revision);
         let is_early = asked.elapsed() < wait;
         // Without a change, the platform answers at the end of the wait.
         let current = match !is_early && changed.items.is_empty() {
--- /dev/null
+++ b/crates/state/tests/reader.rs
@@ -0,0 +1,99 @@
+//! Reading of the platform's objects by one host, whose updates are not always taken at once.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[path = "cuts/origin.rs"]
+#[expect(dead_code, reason = "other tests use the rest of the store")]
+mod origin;
+
+use std::time::Duration;
+
+use origin::{Access, Link, Store, number};
+use rattanmast_model::feed::{Origin as _, Update};
+use rattanmast_state::{follow::PlatformReader as _, reader::Reader, staleness::Limits};
+use tokio::{
+    sync::mpsc,
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
+
+/// Time by which a change must be in force.
+const BOUND: Duration = Duration::from_secs(3);
+
+/// Time within which a change arrives in spite of failed or slow calls.
+const RECOVERY_TIME: Duration = Duration::from_secs(20);
+
+/// A reader, its store, and the updates that it reports.
+struct Env {
+    store: Store,
+    updates: mpsc::Receiver<Update>,
+    reading: JoinHandle<()>,
+}
+
+impl Drop for Env {
+    fn drop(&mut self) {
+        self.reading.abort();
+    }
+}
+
+impl Env {
+    /// Starts a reader, and takes its updates until it has read everything.
+    async fn start() -> Self {
+        let store = Store::new();
+        store.advance(Access::CONFIG);
+        store.advance(Access::LEAFS);
+        let link = Link::new();
+        let (sink, updates) = mpsc::channel(1);
+        let reader = Reader {
+            origin: Access {
+                store: store.clone(),
+                link,
+            },
+            limits: Limits::new(BOUND),
+        };
+        let reading = tokio::spawn(async move { reader.read(sink).await });
+        let mut env = Self {
+            store,
+            updates,
+            reading,
+        };
+        env.take_for(Duration::from_secs(4)).await;
+        env
+    }
+
+    /// Takes updates for some time.
+    async fn take_for(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while let Ok(Some(_)) = tokio::time::timeout_at(end, self.updates.recv()).await {}
+    }
+
+    /// Takes updates until the newest leafs arrive.
+    async fn take_newest_leafs(&mut self) {
+        let newest = self.store.newest_at(Access::LEAFS, Instant::now());
+        loop {
+            let objects = match self.updates.recv().await.unwrap() {
+                Update::All { kind, objects, .. } if kind == Access::LEAFS => objects,
+                Update::Changes { kind, put, .. } if kind == Access::LEAFS => put,
+                _ => continue,
+            };
+            if objects.iter().any(|object| number(object) == newest) {
+                return;
+            }
+        }
+    }
+}
+
+/// Guards against changes that are never applied: their revision was recorded, and the read was ended by
+/// the failure of another one before they were passed on.
+#[tokio::test(start_paused = true)]
+async fn changes_are_passed_on_although_another_read_fails_meanwhile() {
+    let mut env = Env::start().await;
+    // Answers about the configuration fill the channel, so that the next update has to wait.
+    sleep(Duration::from_millis(500)).await;
+    env.store.advance(Access::LEAFS);
+    sleep(Duration::from_secs(1)).await;
+    env.store.end_watches();
+    sleep(Duration::from_secs(1)).await;
+    let arrived = timeout(RECOVERY_TIME, env.take_newest_leafs()).await;
+    assert!(arrived.is_ok(), "the change of the leafs does not arrive");
+}
