Let a check of the leafs end before the next one begins

What callers saw: nothing that was traced to this; while the platform answers slowly, hosts whose state of the leafs gets no newer, although it answers.

Cause: a request for a check dropped the call under way, also when that was a check already. If answers about leafs take longer than the interval at which checks are requested, none of them ever arrives.

Evidence: leafs_are_read_although_their_answers_take_longer_than_the_refresh_ interval failed before (no change of the leafs in 20 s, answers of 1.5 s) and passes now.

Why this works: only a watch that waits is dropped, for a call that does not wait; a request that comes meanwhile stays until that call has its answer.

--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -329,7 +329,8 @@
         loop {
             let answer = tokio::select! {
                 answer = self.ask(O::LEAFS, cursor, wait) => answer?,
-                () = check.notified() => {
+                // A check that is under way is not dropped for the next one.
+                () = check.notified(), if !wait.is_zero() => {
                     wait = Duration::ZERO;
                     continue;
                 }
--- a/crates/state/tests/cuts/main.rs
+++ b/crates/state/tests/cuts/main.rs
@@ -5,6 +5,10 @@
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod fleet;
+#[expect(
+    dead_code,
+    reason = "the tests of the reader use the rest of the store"
+)]
 mod origin;
 
 use std::{env, ops::RangeInclusive, time::Duration};
--- a/crates/state/tests/cuts/origin.rs
+++ b/crates/state/tests/cuts/origin.rs
@@ -47,6 +47,8 @@
     calls: Arc<AtomicU32>,
     /// The number of next calls whose answers are lost.
     lost_answers: Arc<AtomicU32>,
+    /// How much longer answers about leafs take.
+    leafs_delay: Arc<Mutex<Duration>>,
 }
 
 impl Link {
@@ -56,6 +58,7 @@
             disturbed: Arc::new(Mutex::new(Instant::now())),
             calls: Arc::default(),
             lost_answers: Arc::default(),
+            leafs_delay: Arc::default(),
         }
     }
 
@@ -64,6 +67,11 @@
         self.lost_answers.store(count, Ordering::Relaxed);
     }
 
+    /// Sets how much longer answers about leafs take.
+    pub fn delay_leafs(&self, delay: Duration) {
+        *self.leafs_delay.lock().unwrap() = delay;
+    }
+
     /// Returns whether the answer of this call is lost.
     fn loses_answer(&self) -> bool {
         let less = |count: u32| count.checked_sub(1);
@@ -280,12 +288,21 @@
 }
 
 impl Access {
-    async fn call<T>(&self, wait: Duration, answer: impl Future<Output = Result<T>>) -> Result<T> {
+    async fn call<T>(
+        &self,
+        kind: &'static str,
+        wait: Duration,
+        answer: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
         self.link.calls.fetch_add(1, Ordering::Relaxed);
         let loses_answer = self.link.loses_answer();
         let call = async {
             self.link.carry(Cut::ToStore).await?;
             let answer = answer.await;
+            let delay = *self.link.leafs_delay.lock().unwrap();
+            if kind == Self::LEAFS {
+                sleep(delay).await;
+            }
             if loses_answer {
                 std::future::pending::<()>().await;
             }
@@ -307,7 +324,7 @@
     const QUARANTINE: &'static str = "quarantine";
 
     async fn list(&self, kind: &'static str, _allow_stale: bool) -> Result<Batch<Object>> {
-        self.call(Duration::ZERO, async { Ok(self.store.list(kind)) })
+        self.call(kind, Duration::ZERO, async { Ok(self.store.list(kind)) })
             .await
     }
 
@@ -340,6 +357,6 @@
                 }),
             }
         };
-        self.call(wait, answer).await
+        self.call(kind, wait, answer).await
     }
 }
--- a/crates/state/tests/reader.rs
+++ b/crates/state/tests/reader.rs
@@ -26,6 +26,7 @@
 /// A reader, its store, and the updates that it reports.
 struct Env {
     store: Store,
+    link: Link,
     updates: mpsc::Receiver<Update>,
     reading: JoinHandle<()>,
 }
@@ -47,13 +48,14 @@
         let reader = Reader {
             origin: Access {
                 store: store.clone(),
-                link,
+                link: link.clone(),
             },
             limits: Limits::new(BOUND),
         };
         let reading = tokio::spawn(async move { reader.read(sink).await });
         let mut env = Self {
             store,
+            link,
             updates,
             reading,
         };
@@ -97,3 +99,15 @@
     let arrived = timeout(RECOVERY_TIME, env.take_newest_leafs()).await;
     assert!(arrived.is_ok(), "the change of the leafs does not arrive");
 }
+
+/// Guards against a check of the leafs that never ends because each further request for one drops it,
+/// while the platform answers slowly.
+#[tokio::test(start_paused = true)]
+async fn leafs_are_read_although_their_answers_take_longer_than_the_refresh_interval() {
+    let mut env = Env::start().await;
+    env.link.delay_leafs(Duration::from_millis(1_500));
+    env.take_for(RECOVERY_TIME).await;
+    env.store.advance(Access::LEAFS);
+    let arrived = timeout(RECOVERY_TIME, env.take_newest_leafs()).await;
+    assert!(arrived.is_ok(), "the change of the leafs does not arrive");
+}
