Call a kind of objects current only when nothing can have been left out

What callers saw: after an outage in which much had changed, requests to leafs more than 6,000 ms after the store had confirmed that they were leaving.

Cause: the store ends an answer to a watch at some size. The reader took each answer for all changes up to the time of the call: it called its state current (`age_ms=57` while 4,300 revisions behind), and it waited a second before each next answer, so that changes arrive together. So the state was up to ten seconds old where every age said a few hundred milliseconds.

Why this works: `state::progress` decides in one place, from revision and time, as of when a kind is current: after an answer without changes, a list, or a revision that the platform had not passed at a known time. Readers, watches and followers use this time only. A reader that is known to be behind reads on without a delay, and lists if more may have changed than there is, so no size of an answer stands in the code. The calls' plumbing moves to `state::call` unchanged.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 mod availability;
+mod call;
 pub mod change;
 pub mod delta;
 pub mod drain;
@@ -20,6 +21,7 @@
 pub mod monitor;
 pub mod node;
 pub mod plan;
+mod progress;
 pub mod proof;
 pub mod reader;
 pub mod record;
--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -1,16 +1,24 @@
 //! Reads the platform's objects by listing and watching them.
 
-use std::{convert::Infallible, pin::pin, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
-use futures::{StreamExt as _, stream::FuturesUnordered};
 use rand::Rng as _;
 use rattanmast_model::feed::{Batch, Change, Error, Origin, Result, Revision, Update};
 use tokio::{
-    sync::{Mutex, Notify, mpsc},
+    sync::{Notify, mpsc},
     time::{self, Instant},
 };
 
-use crate::{follow::PlatformReader, staleness::Limits};
+use crate::{
+    call::{answer_of_either, in_time, resend},
+    follow::PlatformReader,
+    progress::{Answer, Kind, Progress},
+    staleness::Limits,
+};
 
 /// Upper bound of the time that a call may take, beyond the time for which a watch waits.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -28,8 +36,6 @@
 const CONFIG_BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Delay before the next watch of the leafs after a change; they change more often.
 const LEAF_BATCH_DELAY: Duration = Duration::from_secs(1);
-/// Number of times that a read of changes is sent again while there is no answer.
-const MAX_RESENDS: usize = 2;
 /// Delay after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Upper bound of the delay after failed calls.
@@ -60,6 +66,8 @@
             restored: &restored,
             call_timeout: self.limits.call,
             reported: None,
+            progress: Mutex::default(),
+            check_leafs: Notify::new(),
         };
         tokio::join!(state.read(), self.poll_hosts(&sink, &restored));
     }
@@ -111,51 +119,7 @@
     }
 }
 
-/// The revisions that the watched kinds were read up to; `None` if all have to be listed.
-#[derive(Clone, Copy, Debug, Default)]
-struct Cursors {
-    config: Option<Revision>,
-    leafs: Option<Revision>,
-    quarantine: Option<Revision>,
-}
-
-/// How current the results of the two watches are.
-#[derive(Clone, Copy, Debug)]
-struct Progress {
-    /// The time as of which the configuration is current.
-    config: Instant,
-    /// The time as of which the leafs are current.
-    leafs: Instant,
-    /// The revision that the leafs were read up to.
-    leaf_revision: Revision,
-}
-
-impl Progress {
-    /// Returns the time as of which both are current.
-    fn current(&self) -> Instant {
-        self.config.min(self.leafs)
-    }
-
-    /// Records that the configuration is current as of a time at which the platform was at `revision`.
-    fn record_config(&mut self, current: Instant, revision: Revision) {
-        self.config = current;
-        // The revision covers all kinds, so the leafs have not changed if it is the one known.
-        if self.leaf_revision >= revision {
-            self.leafs = self.leafs.max(current);
-        }
-    }
-}
-
-/// An answer to a watch.
-struct Answer {
-    changed: Batch<Change>,
-    /// The time as of which the kind is current.
-    current: Instant,
-    /// Whether the answer came before the end of the wait, which more changes may follow soon.
-    is_early: bool,
-}
-
-/// State of reading configuration and leafs.
+/// State of reading configuration, leafs and quarantine.
 struct State<'a, O> {
     origin: &'a O,
     limits: Limits,
@@ -166,22 +130,29 @@
     call_timeout: Duration,
     /// The last reported availability of the platform.
     reported: Option<bool>,
+    /// What was read so far.
+    progress: Mutex<Progress>,
+    /// Notified when the leafs are not known to be as current as the configuration.
+    check_leafs: Notify,
 }
 
 impl<O: Origin> State<'_, O> {
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Reads until the future is dropped.
     async fn read(mut self) {
-        let mut cursors = Cursors::default();
+        let started = Instant::now();
         let mut backoff = INITIAL_BACKOFF;
-        let mut current = Instant::now();
         loop {
-            let caught_up = self.catch_up(&mut cursors, &mut current).await;
+            let caught_up = self.catch_up().await;
             let watching = caught_up.is_ok();
             let error = match caught_up {
                 Ok(()) => {
                     backoff = INITIAL_BACKOFF;
                     let started = Instant::now();
-                    let Err(error) = self.watch(&mut cursors, &mut current).await;
+                    let Err(error) = self.watch().await;
                     if started.elapsed() >= CALM_TIME {
                         self.call_timeout = self.limits.call;
                     }
@@ -190,8 +161,9 @@
                 Err(error) => error,
             };
             if error == Error::Restored {
-                cursors = Cursors::default();
+                self.progress().forget_all();
             }
+            let current = self.progress().current().unwrap_or(started);
             let unanswered_ms = current.elapsed().as_millis();
             log::info!(
                 "event=store_read_failed watching={watching} unanswered_ms={unanswered_ms} \
@@ -211,58 +183,65 @@
         }
     }
 
-    /// Reads what has changed since the last read, and sets the time as of which that is current.
+    /// Reads all that has changed since the last read.
     ///
     /// The configuration is read first, so that an outage costs one call at a time.
-    async fn catch_up(&mut self, cursors: &mut Cursors, current: &mut Instant) -> Result<()> {
+    async fn catch_up(&mut self) -> Result<()> {
         let started = Instant::now();
-        let config = self.read_kind(O::CONFIG, &mut cursors.config).await?;
-        self.report_availability(true).await;
-        send(self.updates, config).await;
-        let leafs = self.read_kind(O::LEAFS, &mut cursors.leafs).await?;
-        send(self.updates, leafs).await;
-        *current = started;
-        send(self.updates, Update::Current(started)).await;
-        let quarantine = self
-            .read_kind(O::QUARANTINE, &mut cursors.quarantine)
-            .await?;
-        send(self.updates, quarantine).await;
+        for kind in [Kind::Config, Kind::Leafs, Kind::Quarantine] {
+            while self.progress().current_of(kind) < Some(started) {
+                self.read_next(kind).await?;
+                self.report_availability(true).await;
+            }
+        }
         Ok(())
     }
 
-    /// Reads the changes of a kind since `cursor`, or all objects without a cursor.
-    async fn read_kind(&self, kind: &'static str, cursor: &mut Option<Revision>) -> Result<Update> {
-        let changed = match *cursor {
-            Some(since) => self.changes(kind, since, Duration::ZERO).await,
-            None => Err(Error::Compacted),
-        };
-        match changed {
-            Ok(changed) => {
-                *cursor = Some(changed.revision);
-                Ok(Update::changes(kind.into(), changed))
-            }
+    /// Reads the next changes of a kind, or all its objects if the changes are not available.
+    async fn read_next(&self, kind: Kind) -> Result<()> {
+        match self.read_on(kind).await {
             Err(Error::Compacted | Error::Restored) => {
-                *cursor = None;
-                let asked = Instant::now();
-                let listed = in_time(MAX_LIST_TIME, self.origin.list(kind, false)).await?;
-                let (objects, revision) = (listed.items.len(), listed.revision);
-                let took_ms = asked.elapsed().as_millis();
-                log::info!(
-                    "event=store_listed kind={kind} revision={revision} objects={objects} \
-                     took_ms={took_ms}"
-                );
-                *cursor = Some(listed.revision);
-                Ok(Update::All {
-                    kind: kind.into(),
-                    objects: listed.items,
-                    revision: listed.revision,
-                    watched: true,
-                })
+                self.progress().forget(kind);
+                self.list(kind).await
             }
-            Err(error) => Err(error),
+            read => read,
         }
     }
 
+    /// Reads the next changes of a kind, and all its objects if these are fewer than the changes that
+    /// are still missing.
+    async fn read_on(&self, kind: Kind) -> Result<()> {
+        self.read_changes(kind, Duration::ZERO).await?;
+        let is_list_shorter = self.progress().is_list_shorter(kind);
+        match is_list_shorter {
+            true => self.list(kind).await,
+            false => Ok(()),
+        }
+    }
+
+    /// Reads all objects of a kind.
+    async fn list(&self, kind: Kind) -> Result<()> {
+        let asked = Instant::now();
+        let name = name::<O>(kind);
+        let listed = in_time(MAX_LIST_TIME, self.origin.list(name, false)).await?;
+        let (objects, revision) = (listed.items.len(), listed.revision);
+        let took_ms = asked.elapsed().as_millis();
+        log::info!(
+            "event=store_listed kind={name} revision={revision} objects={objects} \
+             took_ms={took_ms}"
+        );
+        let update = Update::All {
+            kind: name.into(),
+            objects: listed.items,
+            revision,
+            watched: true,
+        };
+        send(self.updates, update).await;
+        self.progress().record_list(kind, revision, objects, asked);
+        self.report_current().await;
+        Ok(())
+    }
+
     /// Reports whether the platform answers, if that has changed.
     async fn report_availability(&mut self, available: bool) {
         if self.reported != Some(available) {
@@ -272,131 +251,108 @@
     }
 
     /// Watches configuration, leafs and quarantine until a call fails.
-    async fn watch(&self, cursors: &mut Cursors, current: &mut Instant) -> Result<Infallible> {
-        let progress = Mutex::new(Progress {
-            config: *current,
-            leafs: *current,
-            leaf_revision: cursors.leafs.unwrap_or_default(),
-        });
-        let check_leafs = Notify::new();
+    async fn watch(&self) -> Result<Infallible> {
         let watching = tokio::try_join!(
-            self.watch_config(&mut cursors.config, &progress, &check_leafs),
-            self.watch_leafs(&mut cursors.leafs, &progress, &check_leafs),
-            self.watch_quarantine(&mut cursors.quarantine),
+            self.watch_config(),
+            self.watch_leafs(),
+            self.watch_quarantine(),
         );
-        *current = progress.lock().await.current();
         watching.map(|(never, ..)| never)
     }
 
     /// Watches the configuration, with an answer at least once in the refresh interval.
     ///
     /// Requests a check of the leafs when they are not known to be as current.
-    async fn watch_config(
-        &self,
-        cursor: &mut Option<Revision>,
-        progress: &Mutex<Progress>,
-        check_leafs: &Notify,
-    ) -> Result<Infallible> {
+    async fn watch_config(&self) -> Result<Infallible> {
         let refresh = self.limits.refresh;
-        let mut current = progress.lock().await.config;
         loop {
-            let wait = (current + refresh).saturating_duration_since(Instant::now());
-            let answer = self.ask(O::CONFIG, cursor, wait).await?;
-            current = answer.current;
-            self.pass_on(O::CONFIG, answer.changed, cursor).await;
-            let mut progress = progress.lock().await;
-            progress.record_config(current, cursor.unwrap_or_default());
-            self.report(&progress).await;
-            if current.saturating_duration_since(progress.leafs) > refresh / 2 {
-                check_leafs.notify_one();
+            let due = self.config_due();
+            let wait = due.saturating_duration_since(Instant::now());
+            let is_early = self.read_changes(Kind::Config, wait).await?;
+            if self.progress().lags(Kind::Leafs, refresh / 2) {
+                self.check_leafs.notify_one();
             }
-            drop(progress);
-            if answer.is_early {
+            if is_early {
                 let batch_end = Instant::now() + CONFIG_BATCH_DELAY;
-                time::sleep_until(batch_end.min(current + refresh)).await;
+                time::sleep_until(batch_end.min(self.config_due())).await;
             }
         }
     }
 
-    /// Watches the leafs, and asks at once whether they have changed when a check is requested.
-    async fn watch_leafs(
-        &self,
-        cursor: &mut Option<Revision>,
-        progress: &Mutex<Progress>,
-        check: &Notify,
-    ) -> Result<Infallible> {
-        let mut wait = LEAF_WATCH_WAIT;
+    /// Returns the time by which an answer has to show that the configuration is current.
+    fn config_due(&self) -> Instant {
+        let current = self.progress().current_of(Kind::Config);
+        current.map_or_else(Instant::now, |current| current + self.limits.refresh)
+    }
+
+    /// Watches the leafs, and reads at once all changes that are known to be missing when a check is
+    /// requested.
+    async fn watch_leafs(&self) -> Result<Infallible> {
         loop {
-            let answer = tokio::select! {
-                answer = self.ask(O::LEAFS, cursor, wait) => answer?,
-                // A check that is under way is not dropped for the next one.
-                () = check.notified(), if !wait.is_zero() => {
-                    wait = Duration::ZERO;
-                    continue;
-                }
+            if self.progress().lags(Kind::Leafs, self.limits.refresh / 2) {
+                self.read_on(Kind::Leafs).await?;
+                continue;
+            }
+            let is_early = tokio::select! {
+                read = self.read_changes(Kind::Leafs, LEAF_WATCH_WAIT) => read?,
+                () = self.check_leafs.notified() => false,
             };
-            wait = LEAF_WATCH_WAIT;
-            self.pass_on(O::LEAFS, answer.changed, cursor).await;
-            let mut progress = progress.lock().await;
-            progress.leafs = progress.leafs.max(answer.current);
-            progress.leaf_revision = cursor.unwrap_or_default();
-            self.report(&progress).await;
-            let refresh_at = progress.leafs + self.limits.refresh;
-            drop(progress);
-            if answer.is_early {
-                let batch_end = Instant::now() + LEAF_BATCH_DELAY;
-                time::sleep_until(batch_end.min(refresh_at)).await;
+            if is_early {
+                tokio::select! {
+                    () = time::sleep(LEAF_BATCH_DELAY) => {}
+                    () = self.check_leafs.notified() => {}
+                }
             }
         }
     }
 
     /// Watches the quarantine, which rarely changes.
-    async fn watch_quarantine(&self, cursor: &mut Option<Revision>) -> Result<Infallible> {
+    async fn watch_quarantine(&self) -> Result<Infallible> {
         loop {
-            let answer = self
-                .ask(O::QUARANTINE, cursor, QUARANTINE_WATCH_WAIT)
+            self.read_changes(Kind::Quarantine, QUARANTINE_WATCH_WAIT)
                 .await?;
-            self.pass_on(O::QUARANTINE, answer.changed, cursor).await;
         }
     }
 
-    /// Passes changes on, then advances the cursor, so that a dropped future loses no change.
-    async fn pass_on(
-        &self,
-        kind: &'static str,
-        changed: Batch<Change>,
-        cursor: &mut Option<Revision>,
-    ) {
-        let revision = changed.revision;
-        send(self.updates, Update::changes(kind.into(), changed)).await;
-        *cursor = Some(revision);
-    }
-
-    /// Waits up to `wait` for changes of a kind since `cursor`.
-    async fn ask(
-        &self,
-        kind: &'static str,
-        cursor: &Option<Revision>,
-        wait: Duration,
-    ) -> Result<Answer> {
+    /// Waits up to `wait` for changes of a kind and reports them; returns whether the answer came
+    /// before the end of the wait, so that more changes may follow soon.
+    ///
+    /// The revision is recorded after the changes are sent, so that a dropped future loses none.
+    async fn read_changes(&self, kind: Kind, wait: Duration) -> Result<bool> {
+        let since = self.progress().revision(kind).ok_or(Error::Compacted)?;
         let asked = Instant::now();
-        let changed = self.changes(kind, cursor.unwrap_or_default(), wait).await?;
+        let name = name::<O>(kind);
+        let changed = self.changes(name, since, wait).await?;
         let is_early = asked.elapsed() < wait;
-        // Without a change, the platform answers at the end of the wait.
-        let current = match !is_early && changed.items.is_empty() {
-            true => asked + wait,
-            false => asked,
+        let (revision, changes) = (changed.revision, changed.items.len());
+        let is_whole = changed.items.is_empty();
+        let answer = Answer {
+            revision,
+            // Without a change, the platform answers at the end of the wait.
+            at: match is_whole && !is_early {
+                true => asked + wait,
+                false => asked,
+            },
+            is_whole,
         };
-        Ok(Answer {
-            changed,
-            current,
-            is_early,
-        })
+        let took_ms = asked.elapsed().as_millis();
+        send(self.updates, Update::changes(name.into(), changed)).await;
+        self.progress().record(kind, answer);
+        let platform = self.progress().platform_revision();
+        log::info!(
+            "event=store_read kind={name} since={since} revision={revision} platform={platform} \
+             changes={changes} took_ms={took_ms}"
+        );
+        self.report_current().await;
+        Ok(is_early)
     }
 
     /// Reports as of when the state is current.
-    async fn report(&self, progress: &Progress) {
-        send(self.updates, Update::Current(progress.current())).await;
+    async fn report_current(&self) {
+        let current = self.progress().current();
+        if let Some(current) = current {
+            send(self.updates, Update::Current(current)).await;
+        }
     }
 
     /// Returns the changes of a kind after `since`, unless the platform has begun another history: the
@@ -414,14 +370,7 @@
             resend(again, self.limits.resend).await
         };
         let answer = answer_of_either(first, again);
-        let asked = Instant::now();
         let changed = in_time(wait + self.call_timeout, answer).await?;
-        let (changes, revision) = (changed.items.len(), changed.revision);
-        let took_ms = asked.elapsed().as_millis();
-        log::info!(
-            "event=store_read kind={kind} since={since} revision={revision} changes={changes} \
-             took_ms={took_ms}"
-        );
         match changed.revision.epoch == since.epoch {
             true => Ok(changed),
             false => {
@@ -432,50 +381,16 @@
     }
 }
 
-async fn send(updates: &mpsc::Sender<Update>, update: Update) {
-    // An error needs no handling: whoever drops the receiver drops this future too.
-    let _closed = updates.send(update).await;
-}
-
-/// Returns the answer of `first`, or that of `again` if it comes before.
-///
-/// The answer of a call may be lost on a connection that stays open, while other connections work.
-async fn answer_of_either<T>(
-    first: impl Future<Output = Result<T>>,
-    again: impl Future<Output = Result<T>>,
-) -> Result<T> {
-    let mut first = pin!(first);
-    tokio::select! {
-        answer = &mut first => answer,
-        answer = again => match answer {
-            Err(Error::Unavailable { .. }) => first.await,
-            answer => answer,
-        },
+/// Returns the platform's name of a kind.
+fn name<O: Origin>(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Config => O::CONFIG,
+        Kind::Leafs => O::LEAFS,
+        Kind::Quarantine => O::QUARANTINE,
     }
 }
 
-/// Makes a call at each `interval`, up to a few times, and returns the first answer.
-async fn resend<T, F: Future<Output = Result<T>>>(
-    call: impl Fn() -> F,
-    interval: Duration,
-) -> Result<T> {
-    let mut calls = FuturesUnordered::new();
-    for _ in 0..MAX_RESENDS {
-        tokio::select! {
-            Some(answer) = calls.next() => return answer,
-            () = time::sleep(interval) => calls.push(call()),
-        }
-    }
-    match calls.next().await {
-        Some(answer) => answer,
-        None => std::future::pending().await,
-    }
-}
-
-/// Limits the time of a call.
-async fn in_time<T>(limit: Duration, call: impl Future<Output = Result<T>>) -> Result<T> {
-    let unanswered = |_| Error::Unavailable {
-        why: format!("no answer within {} ms", limit.as_millis()),
-    };
-    time::timeout(limit, call).await.map_err(unanswered)?
+async fn send(updates: &mpsc::Sender<Update>, update: Update) {
+    // An error needs no handling: whoever drops the receiver drops this future too.
+    let _closed = updates.send(update).await;
 }
--- a/crates/state/tests/reader.rs
+++ b/crates/state/tests/reader.rs
@@ -111,3 +111,31 @@
     let arrived = timeout(RECOVERY_TIME, env.take_newest_leafs()).await;
     assert!(arrived.is_ok(), "the change of the leafs does not arrive");
 }
+
+/// Guards against a reader that calls its state current although it holds only the first of many changes,
+/// so that its followers keep to it.
+#[tokio::test(start_paused = true)]
+async fn a_part_of_the_changes_is_not_called_current() {
+    let mut env = Env::start().await;
+    let mut held = env.store.newest_at(Access::LEAFS, Instant::now());
+    env.link.delay_leafs(Duration::from_millis(200));
+    for _ in 0..200 {
+        env.store.advance(Access::LEAFS);
+    }
+    let newest = env.store.newest_at(Access::LEAFS, Instant::now());
+    while held < newest {
+        match timeout(RECOVERY_TIME, env.updates.recv()).await.unwrap() {
+            Some(Update::All { kind, objects, .. }) if kind == Access::LEAFS => {
+                held = objects.iter().map(number).fold(held, u64::max);
+            }
+            Some(Update::Changes { kind, put, .. }) if kind == Access::LEAFS => {
+                held = put.iter().map(number).fold(held, u64::max);
+            }
+            Some(Update::Current(at)) => {
+                let due = env.store.newest_at(Access::LEAFS, at);
+                assert!(held >= due, "has leafs {held}, {due} were there by then");
+            }
+            _ => {}
+        }
+    }
+}
