--- a/crates/state/tests/cuts/main.rs
+++ b/crates/state/tests/cuts/main.rs
@@ -29,6 +29,9 @@
 /// Number of changes during an outage, which take many answers.
 const BACKLOG_CHANGES: usize = 400;
 
+/// Upper bound of the number of leafs that change at once in a run under random faults.
+const MAX_BURST_CHANGES: usize = 200;
+
 /// Returns the seeds of the runs under random faults.
 fn seeds() -> RangeInclusive<u64> {
     let text = env::var("RATTANMAST_CUT_SEEDS").unwrap_or_else(|_| "0-19".to_owned());
@@ -212,9 +215,14 @@
     }
 }
 
-/// Changes objects in storms and at longer intervals.
+/// Changes objects in storms and at longer intervals, and many leafs at once from time to time.
 async fn change(fleet: Fleet, mut rng: SmallRng) {
     loop {
+        if rng.random_ratio(1, 4) {
+            for _ in 0..rng.random_range(1..MAX_BURST_CHANGES) {
+                fleet.store.advance(Access::LEAFS);
+            }
+        }
         let (kinds, gap_ms) = (
             [Access::CONFIG, Access::LEAFS],
             rng.random_range(100..1_500),
