--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -36,7 +36,7 @@
 }
 
 /// How much of one kind is held.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct Position {
     /// The revision that the objects are complete up to; `None` if all have to be listed.
     revision: Option<Revision>,
@@ -47,7 +47,7 @@
 }
 
 /// How much of each kind is held.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Progress {
     config: Position,
     leafs: Position,
@@ -100,7 +100,7 @@
             .is_some_and(|mark| current.is_none_or(|current| current + tolerance < mark.at))
     }
 
-    /// Returns whether more objects may have changed since the revision of a kind than it has.
+    /// Returns whether a list of a kind is shorter than the changes that may be missing.
     pub(crate) fn is_list_shorter(&self, kind: Kind) -> bool {
         let position = self.position(kind);
         let (Some(mark), Some(held)) = (self.mark, position.revision) else {
--- a/crates/state/src/reader.rs
+++ b/crates/state/src/reader.rs
@@ -190,16 +190,16 @@
         let started = Instant::now();
         for kind in [Kind::Config, Kind::Leafs, Kind::Quarantine] {
             while self.progress().current_of(kind) < Some(started) {
-                self.read_next(kind).await?;
+                self.read_or_list(kind).await?;
                 self.report_availability(true).await;
             }
         }
         Ok(())
     }
 
-    /// Reads the next changes of a kind, or all its objects if the changes are not available.
-    async fn read_next(&self, kind: Kind) -> Result<()> {
-        match self.read_on(kind).await {
+    /// Reads the next changes of a kind, or lists its objects if the changes are not available.
+    async fn read_or_list(&self, kind: Kind) -> Result<()> {
+        match self.read_missing(kind).await {
             Err(Error::Compacted | Error::Restored) => {
                 self.progress().forget(kind);
                 self.list(kind).await
@@ -208,9 +208,9 @@
         }
     }
 
-    /// Reads the next changes of a kind, and all its objects if these are fewer than the changes that
-    /// are still missing.
-    async fn read_on(&self, kind: Kind) -> Result<()> {
+    /// Reads the next changes of a kind, then lists its objects if that is shorter than reading the
+    /// changes that are still missing.
+    async fn read_missing(&self, kind: Kind) -> Result<()> {
         self.read_changes(kind, Duration::ZERO).await?;
         let is_list_shorter = self.progress().is_list_shorter(kind);
         match is_list_shorter {
@@ -290,7 +290,7 @@
     async fn watch_leafs(&self) -> Result<Infallible> {
         loop {
             if self.progress().lags(Kind::Leafs, self.limits.refresh / 2) {
-                self.read_on(Kind::Leafs).await?;
+                self.read_missing(Kind::Leafs).await?;
                 continue;
             }
             let is_early = tokio::select! {
--- a/crates/state/tests/reader.rs
+++ b/crates/state/tests/reader.rs
@@ -71,20 +71,21 @@
 
     /// Takes updates until the newest leafs arrive.
     async fn take_newest_leafs(&mut self) {
-        let newest = self.store.newest_at(Access::LEAFS, Instant::now());
-        loop {
-            let objects = match self.updates.recv().await.unwrap() {
-                Update::All { kind, objects, .. } if kind == Access::LEAFS => objects,
-                Update::Changes { kind, put, .. } if kind == Access::LEAFS => put,
-                _ => continue,
-            };
-            if objects.iter().any(|object| number(object) == newest) {
-                return;
-            }
-        }
+        let newest = Some(self.store.newest_at(Access::LEAFS, Instant::now()));
+        while leafs(&self.updates.recv().await.unwrap()) != newest {}
     }
 }
 
+/// Returns the number of the leafs in an update, if it has any.
+fn leafs(update: &Update) -> Option<u64> {
+    let objects = match update {
+        Update::All { kind, objects, .. } if kind == Access::LEAFS => objects,
+        Update::Changes { kind, put, .. } if kind == Access::LEAFS => put,
+        _ => return None,
+    };
+    objects.iter().map(number).max()
+}
+
 /// Guards against changes that are never applied: their revision was recorded, and the read was ended by
 /// the failure of another one before they were passed on.
 #[tokio::test(start_paused = true)]
@@ -124,18 +125,12 @@
     }
     let newest = env.store.newest_at(Access::LEAFS, Instant::now());
     while held < newest {
-        match timeout(RECOVERY_TIME, env.updates.recv()).await.unwrap() {
-            Some(Update::All { kind, objects, .. }) if kind == Access::LEAFS => {
-                held = objects.iter().map(number).fold(held, u64::max);
-            }
-            Some(Update::Changes { kind, put, .. }) if kind == Access::LEAFS => {
-                held = put.iter().map(number).fold(held, u64::max);
-            }
-            Some(Update::Current(at)) => {
-                let due = env.store.newest_at(Access::LEAFS, at);
-                assert!(held >= due, "has leafs {held}, {due} were there by then");
-            }
-            _ => {}
+        let update = timeout(RECOVERY_TIME, env.updates.recv()).await.unwrap();
+        let update = update.unwrap();
+        held = held.max(leafs(&update).unwrap_or_default());
+        if let Update::Current(at) = update {
+            let due = env.store.newest_at(Access::LEAFS, at);
+            assert!(held >= due, "has leafs {held}, {due} were there by then");
         }
     }
 }
