Ask another leaf if a success lacks the leaf's digest

Cause: what a success is stood in two places. The dispatcher, which decides whether another leaf is asked, only knew server errors; the gatherer also asked for the digest, after the call had ended. So a call to one service was passed on, and a part of a search was missing although another leaf had it.

Reply::kind now says what the head of a reply means, and the dispatcher acts on it, for each reply of a leaf: 2xx of any kind, reads, orders and parts.

--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -274,14 +274,9 @@
             }
             Verdict::Mismatch => {
                 lease.service.shared.counters.mismatches.add(1);
-                let why = SmolStr::new_static("the reply does not match the request");
-                let error = leaf::Error::Failed { why };
-                return (
-                    Disposition::Close(connection),
-                    Observation::Failure,
-                    Outcome::Error(error),
-                );
+                return unusable(connection, "the reply does not match the request");
             }
+            Verdict::Invalid(why) => return unusable(connection, why),
         },
         Err(error) => error,
     };
@@ -294,6 +289,17 @@
     (disposition, observation, Outcome::Error(error))
 }
 
+/// Returns the result of a reply that cannot be used, on a connection that cannot be trusted.
+fn unusable<L, R>(connection: L, why: &'static str) -> (Disposition<L>, Observation, Outcome<R>) {
+    let why = SmolStr::new_static(why);
+    let error = leaf::Error::Failed { why };
+    (
+        Disposition::Close(connection),
+        Observation::Failure,
+        Outcome::Error(error),
+    )
+}
+
 /// Derives the state of the connection and the leaf from an error.
 pub(crate) fn classify_error<L>(
     error: &leaf::Error,
--- a/crates/dispatch/src/work.rs
+++ b/crates/dispatch/src/work.rs
@@ -18,6 +18,8 @@
     Failure,
     /// It belongs to another request.
     Mismatch,
+    /// It is nothing that a leaf answers; says why.
+    Invalid(&'static str),
 }
 
 /// A request that a connection can run.
@@ -97,9 +99,10 @@
     }
 
     fn verdict(&self, reply: &forward::Reply) -> Verdict {
-        match reply.is_failure() {
-            true => Verdict::Failure,
-            false => Verdict::Good(leaf::Load::default()),
+        match reply.kind() {
+            forward::Kind::Success | forward::Kind::Other => Verdict::Good(leaf::Load::default()),
+            forward::Kind::Failure => Verdict::Failure,
+            forward::Kind::Invalid => Verdict::Invalid("the head of the reply is not valid"),
         }
     }
 
--- a/crates/model/src/forward.rs
+++ b/crates/model/src/forward.rs
@@ -43,15 +43,34 @@
     pub digest: Option<SmolStr>,
 }
 
+/// What the head of a reply says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The leaf's complete result.
+    Success,
+    /// A server error of the leaf; another leaf may do better.
+    Failure,
+    /// Another final answer, such as a redirect or a client error.
+    Other,
+    /// Nothing that a leaf says: a part of the head is missing or wrong. The call may have run.
+    Invalid,
+}
+
 impl Reply {
-    /// Returns whether the leaf reported a server error (5xx).
-    pub fn is_failure(&self) -> bool {
-        self.status.is_server_error()
+    /// Returns what the head says; a success without the leaf's digest is invalid.
+    pub fn kind(&self) -> Kind {
+        match self.status {
+            status if status.is_informational() => Kind::Invalid,
+            status if status.is_success() && self.digest.is_none() => Kind::Invalid,
+            status if status.is_success() => Kind::Success,
+            status if status.is_server_error() => Kind::Failure,
+            _ => Kind::Other,
+        }
     }
 
-    /// Returns whether the reply can be part of an answer: a 2xx status and a digest.
+    /// Returns whether the reply is the leaf's complete result, so that it can be part of an answer.
     pub fn is_success(&self) -> bool {
-        self.status.is_success() && self.digest.is_some()
+        self.kind() == Kind::Success
     }
 }
 
