Tie the errors of leafs of the own protocol to their requests

A refusal that arrived once more in place of the answer to a later order made that order "not run", while the leaf ran it, so that a caller could send it again.

Errors now carry the request's id, as results do, and the client compares it. Another id, or none, proves nothing: the outcome is unknown. Leafs of an older release send errors without an id; their refusals of orders count as unknown until they are upgraded.

Evidence: a test in crates/fakes/tests/http, which repeats the first answer of a connection before the second, failed before (the order that ran was reported as expired) and passes now.

--- a/crates/fakes/src/leafs.rs
+++ b/crates/fakes/src/leafs.rs
@@ -8,11 +8,11 @@
     catalog::Snapshot,
     leaf::{Error, Load, Name, Order, Result, Search},
     range::Set,
-    trace,
+    request, trace,
 };
 use rattanmast_wire::{
     http::{self, FullBody},
-    leaf::Cancel,
+    leaf::{Cancel, Refusal},
 };
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -135,15 +135,15 @@
     };
     match (head.method, head.uri.path()) {
         (Method::POST, "/search") => match http::parse::<Search>(&body) {
-            Ok(search) => result_response(connection.search(&search).await),
+            Ok(search) => result_response(search.id, connection.search(&search).await),
             Err(error) => Ok(bad_request(&error)),
         },
         (Method::POST, "/orders") => match http::parse::<Order>(&body) {
-            Ok(order) => result_response(connection.order(&order).await),
+            Ok(order) => result_response(order.id, connection.order(&order).await),
             Err(error) => Ok(bad_request(&error)),
         },
         (Method::POST, "/cancel") => match http::parse::<Cancel>(&body) {
-            Ok(cancel) => result_response(connection.cancel(cancel.id).await),
+            Ok(cancel) => result_response(cancel.id, connection.cancel(cancel.id).await),
             Err(error) => Ok(bad_request(&error)),
         },
         (Method::GET, "/health") => Ok(http::json(StatusCode::OK, &leaf.load())),
@@ -169,7 +169,7 @@
     http::json(StatusCode::BAD_REQUEST, &Error::Failed { why })
 }
 
-fn result_response<T: Serialize>(result: Result<T>) -> HandlerResult {
+fn result_response<T: Serialize>(id: request::Id, result: Result<T>) -> HandlerResult {
     let error = match result {
         Ok(found) => return Ok(http::json(StatusCode::OK, &found)),
         Err(error) => error,
@@ -184,7 +184,7 @@
             return Err(Closed);
         }
     };
-    Ok(http::json(status, &error))
+    Ok(http::json(status, &Refusal { id, error }))
 }
 
 /// Answers one request to the admin paths.
--- a/crates/fakes/tests/http.rs
+++ b/crates/fakes/tests/http.rs
@@ -28,6 +28,7 @@
 };
 use rattanmast_wire::{leaf::Connector, store::Client};
 use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _, copy},
     net::{TcpListener, TcpStream},
     time::sleep,
 };
@@ -200,6 +201,46 @@
     );
 }
 
+/// Forwards one connection to `target`, and sends the first answer once more before the second one.
+async fn repeat_first_answer(target: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (client, _) = listener.accept().await.unwrap();
+        let (mut requests, mut answers) = client.into_split();
+        let (mut leaf_answers, mut leaf_requests) =
+            TcpStream::connect(target).await.unwrap().into_split();
+        tokio::spawn(async move { copy(&mut requests, &mut leaf_requests).await });
+        let mut first = vec![0; 16 << 10];
+        let length = leaf_answers.read(&mut first).await.unwrap();
+        answers.write_all(&first[..length]).await.unwrap();
+        let mut second = vec![0; 16 << 10];
+        let second_length = leaf_answers.read(&mut second).await.unwrap();
+        answers.write_all(&first[..length]).await.unwrap();
+        // The client may close the connection after the first one.
+        let _closed = answers.write_all(&second[..second_length]).await;
+    });
+    addr
+}
+
+/// Guards against an order that is reported as not run, and runs, because a leaf's refusal of an earlier
+/// order arrives once more in place of the answer.
+#[tokio::test]
+async fn a_late_refusal_of_an_earlier_order_refuses_no_other() {
+    let (model, mut leaf) = serve_leaf().await;
+    leaf.addr = repeat_first_answer(leaf.addr).await;
+    let mut link = Connector.open(&leaf).await.unwrap();
+    let late = leaf::Order {
+        not_after_ms: 1,
+        ..order(1, "late")
+    };
+    let refused = link.order(&late).await.unwrap_err();
+    assert!(refused.not_begun(), "{refused}");
+    let unknown = link.order(&order(2, "runs")).await.unwrap_err();
+    assert!(!unknown.not_begun(), "{unknown}");
+    assert_eq!(model.runs()["runs"], 1);
+}
+
 /// Guards against connections beyond the limit, and work that continues after its client has
 /// disconnected or cancelled it.
 #[tokio::test]
--- a/crates/wire/src/leaf.rs
+++ b/crates/wire/src/leaf.rs
@@ -27,6 +27,15 @@
     pub id: request::Id,
 }
 
+/// The body of an answer that reports an error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct Refusal {
+    /// The request that this answers.
+    pub id: request::Id,
+    /// What went wrong.
+    pub error: Error,
+}
+
 /// Opens HTTP/1.1 connections to leafs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Connector;
@@ -53,6 +62,7 @@
     async fn post<T: DeserializeOwned>(
         &mut self,
         path: &str,
+        id: request::Id,
         trace: Option<trace::Context>,
         body: Bytes,
     ) -> Result<T> {
@@ -65,7 +75,7 @@
         let request = request
             .body(Full::new(body))
             .map_err(|error| failed(&error))?;
-        decode(self.connection.send(request).await?).await
+        decode(id, self.connection.send(request).await?).await
     }
 }
 
@@ -75,7 +85,8 @@
     }
 }
 
-async fn decode<T: DeserializeOwned>(response: Response<Incoming>) -> Result<T> {
+/// Reads the answer to the request `id`; a result names its request itself.
+async fn decode<T: DeserializeOwned>(id: request::Id, response: Response<Incoming>) -> Result<T> {
     let status = response.status();
     let body = match http::read_body(response.into_body(), MAX_REPLY_BYTES).await {
         Ok(body) => body,
@@ -85,8 +96,12 @@
     if status == StatusCode::OK {
         return http::parse(&body).map_err(|error| failed(&error));
     }
-    match http::parse::<Error>(&body) {
-        Ok(error) => Err(error),
+    match http::parse::<Refusal>(&body) {
+        Ok(refusal) if refusal.id == id => Err(refusal.error),
+        // A second copy of an earlier answer, which says nothing about this request.
+        Ok(_) => Err(Error::Broken {
+            why: SmolStr::new_static("the answer is to another request"),
+        }),
         Err(_) => Err(failed(&status)),
     }
 }
@@ -94,7 +109,7 @@
 impl leaf::Connection for Client {
     async fn cancel(&mut self, id: request::Id) -> Result<()> {
         let body = http::encode(&Cancel { id });
-        self.post::<serde::de::IgnoredAny>("/cancel", None, body)
+        self.post::<serde::de::IgnoredAny>("/cancel", id, None, body)
             .await
             .map(|_| ())
     }
@@ -106,11 +121,12 @@
 
 impl leaf::Searcher for Client {
     async fn search(&mut self, search: &Search) -> Result<SearchReply> {
-        self.post("/search", search.trace, http::encode(search))
+        self.post("/search", search.id, search.trace, http::encode(search))
             .await
     }
 
     async fn order(&mut self, order: &Order) -> Result<OrderReply> {
-        self.post("/orders", order.trace, http::encode(order)).await
+        self.post("/orders", order.id, order.trace, http::encode(order))
+            .await
     }
 }
