Do not pass on a promise that the leaf did not make

An order that ran could be answered 503, 429 or 408, which callers take for a promise that it has not run and never will, and send it again. A leaf's own 500 that turns into 503, or a refusal whose `Not-Executed` is spoiled, was passed on as the leaf's answer.

These statuses are invalid in a reply, since a leaf that did not begin a call says so and is then reported as an error. Reply::kind decides it, where the missing digest is decided: a call that may be repeated goes to another leaf, an order is answered 502. An answer 101 is invalid, too.

--- a/crates/model/src/forward.rs
+++ b/crates/model/src/forward.rs
@@ -57,11 +57,18 @@
 }
 
 impl Reply {
-    /// Returns what the head says; a success without the leaf's digest is invalid.
+    /// Returns what the head says; a success without the leaf's digest is invalid, and so is an unfounded promise
+    /// that the call has not run.
     pub fn kind(&self) -> Kind {
         match self.status {
             status if status.is_informational() => Kind::Invalid,
             status if status.is_success() && self.digest.is_none() => Kind::Invalid,
+            // Callers take these for a promise that the call has not run and never will. A leaf that says so
+            // is reported as an error, not as a reply.
+            StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE => Kind::Invalid,
             status if status.is_success() => Kind::Success,
             status if status.is_server_error() => Kind::Failure,
             _ => Kind::Other,
