Bound the memory of all unfinished answers of leafs together

Other operators reported a leaf that sends bytes without end, and a host that keeps them until it runs out of memory.

Cause: each body had a limit of 8 MiB, and nothing bounded their sum; a body was kept as the list of its parts, each of which holds the whole buffer that it was read into.

An answer may hold as much as is free for all others, so that room is left for small ones however many large ones there are. Bodies are copied into one buffer. A meter on the connection bounds what may arrive before the end of a head (interim answers, too) and in all.

--- a/crates/fakes/tests/http.rs
+++ b/crates/fakes/tests/http.rs
@@ -171,7 +171,7 @@
 #[tokio::test]
 async fn leaf_answers_the_connector() {
     let (model, leaf) = serve_leaf().await;
-    let mut link = Connector.open(&leaf).await.unwrap();
+    let mut link = Connector::default().open(&leaf).await.unwrap();
     let context: trace::Context = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
         .parse()
         .unwrap();
@@ -229,7 +229,7 @@
 async fn a_late_refusal_of_an_earlier_order_refuses_no_other() {
     let (model, mut leaf) = serve_leaf().await;
     leaf.addr = repeat_first_answer(leaf.addr).await;
-    let mut link = Connector.open(&leaf).await.unwrap();
+    let mut link = Connector::default().open(&leaf).await.unwrap();
     let late = leaf::Order {
         not_after_ms: 1,
         ..order(1, "late")
@@ -253,10 +253,10 @@
     model.set_faults(slow);
     let mut links = Vec::new();
     for _ in 0..25 {
-        links.push(Connector.open(&leaf).await.unwrap());
+        links.push(Connector::default().open(&leaf).await.unwrap());
     }
     until("25 connections", || model.connections() == 25).await;
-    let mut extra = Connector.open(&leaf).await.unwrap();
+    let mut extra = Connector::default().open(&leaf).await.unwrap();
     let refused = extra.search(&search(1, 1)).await.unwrap_err();
     assert!(matches!(
         refused,
@@ -287,7 +287,7 @@
     let (model, mut leaf) = serve_leaf().await;
     let route = route(leaf.addr).await;
     leaf.addr = route.listen();
-    let mut link = Connector.open(&leaf).await.unwrap();
+    let mut link = Connector::default().open(&leaf).await.unwrap();
     link.order(&order(1, "passed")).await.unwrap();
     let lose = proxy::Faults {
         lose_reply: 1.0,
@@ -301,7 +301,7 @@
         ..proxy::Faults::default()
     };
     route.set_faults(close);
-    let mut link = Connector.open(&leaf).await.unwrap();
+    let mut link = Connector::default().open(&leaf).await.unwrap();
     let closed = link.order(&order(3, "closed")).await.unwrap_err();
     assert!(matches!(closed, Error::Lost { .. }));
     until("two orders", || model.runs().len() >= 2).await;
@@ -312,14 +312,14 @@
         ..proxy::Faults::default()
     };
     route.set_faults(cut);
-    let opened = Connector.open(&leaf).await;
+    let opened = Connector::default().open(&leaf).await;
     let reached = match opened {
         Ok(mut link) => link.search(&search(4, 1)).await.is_ok(),
         Err(_) => false,
     };
     assert!(!reached);
     route.set_faults(proxy::Faults::default());
-    let mut link = Connector.open(&leaf).await.unwrap();
+    let mut link = Connector::default().open(&leaf).await.unwrap();
     link.search(&search(5, 1)).await.unwrap();
 }
 
@@ -329,10 +329,10 @@
     let (model, mut leaf) = serve_leaf().await;
     let route = route(leaf.addr).await;
     leaf.addr = route.listen();
-    let mut old = Connector.open(&leaf).await.unwrap();
+    let mut old = Connector::default().open(&leaf).await.unwrap();
     old.search(&search(1, 1)).await.unwrap();
     route.silence_connections();
-    let mut new = Connector.open(&leaf).await.unwrap();
+    let mut new = Connector::default().open(&leaf).await.unwrap();
     let wanted = order(2, "silent");
     let silent = tokio::time::timeout(SHORT, old.order(&wanted));
     let (silent, found) = tokio::join!(silent, async {
@@ -390,7 +390,7 @@
     for ((faults, arrives), sequence) in cases.into_iter().zip(1..) {
         route.set_faults(faults);
         let key = format!("order-{sequence}");
-        let mut link = Connector.open(&leaf).await.unwrap();
+        let mut link = Connector::default().open(&leaf).await.unwrap();
         let wanted = order(sequence, &key);
         let answer = tokio::time::timeout(SHORT, link.order(&wanted)).await;
         assert!(answer.is_err(), "{faults:?}");
@@ -407,6 +407,6 @@
         );
     }
     route.set_faults(slow);
-    let mut link = Connector.open(&leaf).await.unwrap();
+    let mut link = Connector::default().open(&leaf).await.unwrap();
     link.order(&order(9, "slow")).await.unwrap();
 }
--- a/crates/host/src/api.rs
+++ b/crates/host/src/api.rs
@@ -155,6 +155,7 @@
     let status = match error {
         http::Error::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         http::Error::Broken { .. } | http::Error::Malformed { .. } => StatusCode::BAD_REQUEST,
+        http::Error::Memory { .. } => StatusCode::SERVICE_UNAVAILABLE,
     };
     let remedy = "send the JSON that README.md describes";
     Refusal::not_run(status, Reason::Invalid, error.to_string(), remedy)
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -266,7 +266,7 @@
     in_flight: InFlight,
 ) -> Roles {
     let me = &config.host.name;
-    let connector = Connector::new(leaf::Connector, tracer.clone());
+    let connector = Connector::new(leaf::Connector::default(), tracer.clone());
     Roles {
         dispatcher: Dispatcher::new(
             me.clone(),
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -1,12 +1,14 @@
 //! Helpers to read bodies and build responses with hyper.
 
-use std::convert::Infallible;
+use std::{convert::Infallible, pin::pin};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Buf as _, BufMut as _, Bytes};
+use http_body_util::{BodyExt as _, Full};
 use hyper::{Response, StatusCode, body::Body, header};
 use serde::{Serialize, de::DeserializeOwned};
-use snafu::Snafu;
+use snafu::{ResultExt as _, Snafu, ensure};
+
+use crate::memory::{self, Budget, Reservation};
 
 /// A result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -32,6 +34,12 @@
         /// What the transport returned.
         why: String,
     },
+    /// The memory for bodies that are being read is used up.
+    #[snafu(display("body cannot be held: {source}"))]
+    Memory {
+        /// Which limit was reached.
+        source: memory::Error,
+    },
     /// The body is not the expected JSON.
     #[snafu(display("body is not the expected JSON ({why}); see the interface's description"))]
     Malformed {
@@ -51,13 +59,78 @@
     B: Body,
     B::Error: Into<BoxError>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => TooLargeSnafu { limit }.fail(),
-        Err(error) => BrokenSnafu {
-            why: error.to_string(),
+    let data = collect(body, limit, |_| Ok(())).await?;
+    Ok(Bytes::from(data))
+}
+
+/// Reads a complete body of at most `limit` bytes, whose memory counts against `budget` until the returned
+/// bytes are dropped.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_body`], and [`Error::Memory`] if the body is over its share of the budget.
+pub async fn read_body_within<B>(body: B, limit: usize, budget: &Budget) -> Result<Bytes>
+where
+    B: Body,
+    B::Error: Into<BoxError>,
+{
+    let mut reservation = budget.reserve();
+    let grow = |capacity| reservation.grow(capacity).context(MemorySnafu);
+    let data = collect(body, limit, grow).await?;
+    Ok(Bytes::from_owner(Held { data, reservation }))
+}
+
+/// A body and the memory that is reserved for it.
+struct Held {
+    data: Vec<u8>,
+    #[expect(dead_code, reason = "returns the memory when it is dropped")]
+    reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+/// Copies a body into one buffer, and asks `admit` for each capacity that the buffer grows to.
+///
+/// The parts of a body are copied, since even one of a single byte keeps the whole buffer that it was read into.
+async fn collect<B>(
+    body: B,
+    limit: usize,
+    mut admit: impl FnMut(usize) -> Result<()>,
+) -> Result<Vec<u8>>
+where
+    B: Body,
+    B::Error: Into<BoxError>,
+{
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    ensure!(stated <= limit, TooLargeSnafu { limit });
+    let expected = body.size_hint().exact().map_or(limit, |_| stated);
+    let mut body = pin!(body);
+    let mut data = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| broken(error.into()))?;
+        // Trailers are not used.
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        let length = data.len() + part.remaining();
+        ensure!(length <= limit, TooLargeSnafu { limit });
+        if length > data.capacity() {
+            let capacity = length.max(expected.min(2 * data.capacity()));
+            admit(capacity)?;
+            data.reserve_exact(capacity - data.len());
         }
-        .fail(),
+        data.put(part);
+    }
+    Ok(data)
+}
+
+fn broken(error: BoxError) -> Error {
+    Error::Broken {
+        why: error.to_string(),
     }
 }
 
--- a/crates/wire/src/leaf.rs
+++ b/crates/wire/src/leaf.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use hyper::{Request, StatusCode, header};
 use rattanmast_model::{
     leaf::{self, Error, Leaf, Order, OrderReply, Result, Search, SearchReply},
     request, trace,
@@ -12,10 +12,10 @@
 use serde::{Serialize, de::DeserializeOwned};
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::{connection::Connection, http};
+use crate::{connection::Connection, http, memory::Budget};
 
-/// Maximum size of a leaf's reply body.
-const MAX_REPLY_BYTES: usize = 8 << 20;
+/// Memory for the answers that all connections of a connector are reading.
+const ANSWER_MEMORY_BYTES: usize = 64 << 20;
 
 /// Timeout for opening a connection; far above the 6 ms that leafs take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -37,8 +37,18 @@
 }
 
 /// Opens HTTP/1.1 connections to leafs.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Connector;
+#[derive(Clone, Debug)]
+pub struct Connector {
+    budget: Budget,
+}
+
+impl Default for Connector {
+    fn default() -> Self {
+        Self {
+            budget: Budget::new(ANSWER_MEMORY_BYTES),
+        }
+    }
+}
 
 /// Sends searches and orders on one connection to a leaf.
 #[derive(Debug)]
@@ -52,7 +62,7 @@
 
     async fn open(&self, leaf: &Leaf) -> Result<Client> {
         Ok(Client {
-            connection: Connection::open(leaf.addr, CONNECT_TIMEOUT).await?,
+            connection: Connection::open(leaf.addr, CONNECT_TIMEOUT, &self.budget).await?,
             host_header: format_smolstr!("{}", leaf.addr),
         })
     }
@@ -75,7 +85,13 @@
         let request = request
             .body(Full::new(body))
             .map_err(|error| failed(&error))?;
-        decode(id, self.connection.send(request).await?).await
+        let (head, body) = self.connection.send(request).await?.into_parts();
+        let body = match self.connection.read_body(body).await {
+            Ok(body) => body,
+            Err(http::Error::Broken { why }) => return Err(Error::Broken { why: why.into() }),
+            Err(error) => return Err(failed(&error)),
+        };
+        decode(id, head.status, &body)
     }
 }
 
@@ -85,18 +101,12 @@
     }
 }
 
-/// Reads the answer to the request `id`; a result names its request itself.
-async fn decode<T: DeserializeOwned>(id: request::Id, response: Response<Incoming>) -> Result<T> {
-    let status = response.status();
-    let body = match http::read_body(response.into_body(), MAX_REPLY_BYTES).await {
-        Ok(body) => body,
-        Err(http::Error::Broken { why }) => return Err(Error::Broken { why: why.into() }),
-        Err(error) => return Err(failed(&error)),
-    };
+/// Decodes the answer to the request `id`; a result names its request itself.
+fn decode<T: DeserializeOwned>(id: request::Id, status: StatusCode, body: &[u8]) -> Result<T> {
     if status == StatusCode::OK {
-        return http::parse(&body).map_err(|error| failed(&error));
+        return http::parse(body).map_err(|error| failed(&error));
     }
-    match http::parse::<Refusal>(&body) {
+    match http::parse::<Refusal>(body) {
         Ok(refusal) if refusal.id == id => Err(refusal.error),
         // A second copy of an earlier answer, which says nothing about this request.
         Ok(_) => Err(Error::Broken {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod hop;
 pub mod http;
 pub mod leaf;
+pub mod memory;
+mod meter;
 pub mod relay;
 pub mod server;
 pub mod store;
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -366,7 +366,7 @@
     };
     for seed in 0..CONNECTIONS {
         let _reporter = SeedReporter(seed);
-        let mut connection = Connector.open(&leaf).await.unwrap();
+        let mut connection = Connector::default().open(&leaf).await.unwrap();
         let order = order();
         let result = timeout(STEP_TIMEOUT, connection.order(&order))
             .await
