--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -54,6 +54,8 @@
     pub close_after_request: f64,
     /// The share of replies that are lost, with the connection closed, from 0 to 1.
     pub lose_reply: f64,
+    /// The share of replies before which the previous one on the connection is sent once more, from 0 to 1.
+    pub repeat_reply: f64,
 }
 
 /// Connections with a number below this one are silent permanently.
@@ -107,6 +109,8 @@
 /// The action on a chunk.
 enum Action {
     Forward(Duration),
+    /// Forwards the previous chunk once more before this one.
+    Repeat,
     Drop,
     ForwardAndClose,
     Close,
@@ -334,6 +338,7 @@
     ) {
         let mut buffer = vec![0; CHUNK_BYTES];
         let mut is_dropping = false;
+        let mut previous = Vec::new();
         while let Ok(length @ 1..) = from.read(&mut buffer).await {
             let action = self.draw_action(direction);
             is_dropping |= matches!(action, Action::Drop);
@@ -341,12 +346,15 @@
                 _ if is_dropping => continue,
                 Action::Forward(delay) if !delay.is_zero() => sleep(delay).await,
                 Action::Close => return,
-                Action::Forward(_) | Action::Drop | Action::ForwardAndClose => {}
+                Action::Repeat if to.write_all(&previous).await.is_err() => return,
+                Action::Forward(_) | Action::Repeat | Action::Drop | Action::ForwardAndClose => {}
             }
             let written = to.write_all(&buffer[..length]).await;
             if written.is_err() || matches!(action, Action::ForwardAndClose) {
                 return;
             }
+            previous.clear();
+            previous.extend_from_slice(&buffer[..length]);
         }
     }
 
@@ -363,6 +371,7 @@
                 Action::ForwardAndClose
             }
             Direction::ToClient if draw_bool(&mut state.rng, faults.lose_reply) => Action::Close,
+            Direction::ToClient if draw_bool(&mut state.rng, faults.repeat_reply) => Action::Repeat,
             Direction::ToTarget | Direction::ToClient => {
                 let jitter = state.rng.random_range(0..=faults.jitter_ms);
                 Action::Forward(Duration::from_millis(
