--- a/crates/model/src/leaf.rs
+++ b/crates/model/src/leaf.rs
@@ -329,8 +329,9 @@
     /// Forwards a call. The future never resolves if the connection stalls, so the caller
     /// must apply a timeout.
     ///
-    /// Every answer of the leaf to this call is a reply, even one that reports a failure. Only an
-    /// answer which states that the call was not begun is returned as an error.
+    /// Every answer of the leaf to this call is a reply, even one that reports a failure. An answer
+    /// which states that the call was not begun is returned as an error, and so is one that does not
+    /// name the call, after which the call may have begun.
     fn forward(&mut self, forward: &Forward)
     -> impl Future<Output = Result<forward::Reply>> + Send;
 }
--- a/crates/wire/src/meter.rs
+++ b/crates/wire/src/meter.rs
@@ -38,6 +38,7 @@
     has_head: bool,
     /// The memory of the read buffer.
     buffer: Reservation,
+    /// Whether an answer had more bytes than are admitted.
     exceeded: bool,
 }
 
@@ -71,6 +72,11 @@
         self.lock().exceeded
     }
 
+    /// Counts bytes that were read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, which ends the connection, if the answer has too many bytes.
     fn record(&self, bytes: usize) -> io::Result<()> {
         let mut state = self.lock();
         let state = &mut *state;
