Review: more requests in case 9

Cause: few requests fell into the second between the store's return and the leaf's report. Done: twice the callers, at half the interval.

--- a/review/standin-2/src/leaving.rs
+++ b/review/standin-2/src/leaving.rs
@@ -23,8 +23,8 @@
 const WORK: Duration = Duration::from_millis(20);
 
 /// Interval between two requests, and number of callers.
-const INTERVAL: Duration = Duration::from_millis(40);
-const CALLERS: usize = 4;
+const INTERVAL: Duration = Duration::from_millis(20);
+const CALLERS: usize = 8;
 
 /// The events, as times after the start. The leaf is `LEAVER`.
 const CRASH_AT: Duration = Duration::ZERO;
